--- /dev/null
+++ b/limpetshore/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line with `python -m limpetshore`."""
+
+from limpetshore.cli import main
+
+main()
--- /dev/null
+++ b/limpetshore/backends.py
@@ -0,0 +1,78 @@
+"""Know the backend server beside the node by what it announces."""
+
+from typing import Annotated, NamedTuple
+
+import msgspec
+
+from limpetshore import clock
+from limpetshore.checks import build_record
+from limpetshore.httpclient import Headers
+from limpetshore.messages import take_header
+
+SHED_STATUS = 503
+MAX_BOOT_LENGTH = 64
+SHED_HEADER = b'x-shed'
+
+
+class Announcement(NamedTuple):
+    """Hold what a backend server says of itself."""
+
+    state: Annotated[str, msgspec.Meta(pattern='^(starting|ready|draining)$')]
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    boot: Annotated[
+        str, msgspec.Meta(min_length=1, max_length=MAX_BOOT_LENGTH)
+    ] = 'first'
+
+
+class LocalBackend:
+    """Follow the announcements of one backend server."""
+
+    def __init__(self, max_slots: int, lapse_s: float) -> None:
+        """Start without a server; `lapse_s` is how long one stays known."""
+        self.max_slots = max_slots
+        self.lapse_s = lapse_s
+        self.announcement: Announcement | None = None
+        self.heard_at: float = 0
+
+    def take(self, announcement: Announcement) -> bool:
+        """Keep an announcement; return True if the server is a new one."""
+        earlier = self.announcement
+        self.announcement = announcement
+        self.heard_at = clock.now()
+        return earlier is None or earlier.boot != announcement.boot
+
+    @property
+    def slots(self) -> int:
+        """Return the slots announced, within what is believed."""
+        if self.announcement is None:
+            return 1
+        return min(self.announcement.slots, self.max_slots)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the server may be given new work."""
+        return (
+            self.announcement is not None
+            and self.announcement.state == 'ready'
+            and clock.now() - self.heard_at <= self.lapse_s
+        )
+
+
+def read_announcement(body: bytes) -> tuple[Announcement | None, list[str]]:
+    """Return the announcement in a request body and what is wrong with it."""
+    mistakes: list[str] = []
+    try:
+        table = msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        return None, [f'not JSON: {error}']
+    record = build_record(Announcement, table, 'announcement', mistakes)
+    return record, mistakes
+
+
+def is_shed(status: int, headers: Headers) -> bool:
+    """Tell whether a backend server refused a request before running it.
+
+    >>> is_shed(503, [(b'x-shed', b'1')])
+    True
+    """
+    return status == SHED_STATUS and take_header(headers, SHED_HEADER) == b'1'
--- /dev/null
+++ b/limpetshore/balancing.py
@@ -0,0 +1,125 @@
+"""Choose a backend server for each attempt."""
+
+import random
+from collections.abc import Collection
+
+from limpetshore import clock
+from limpetshore.levels import ReportedLevel
+from limpetshore.members import MemberTable
+from limpetshore.messages import AnswerMeta, NodeState
+
+FAILURES_UNTIL_ASIDE = 3
+FIRST_ASIDE_S = 1
+MOST_ASIDE_S = 10
+ASIDE_SHARE = 0.5
+OTHER_ZONE_LOAD = 0.3
+
+
+class ServerView:
+    """Hold what this node has seen of one server."""
+
+    def __init__(self, half_life_s: float) -> None:
+        """Start without a sight of it."""
+        self.in_flight = 0
+        self.load: float = 0
+        self.level = ReportedLevel(half_life_s)
+        self.failures = 0
+        self.aside_until: float = 0
+
+    @property
+    def is_aside(self) -> bool:
+        """Tell whether the server gets no work for a while."""
+        return clock.now() < self.aside_until
+
+    def succeed(self, meta: AnswerMeta) -> None:
+        """Learn from an answer or an honest refusal."""
+        self.failures = 0
+        self.aside_until = 0
+        self.load = meta.load
+        self.level.report(meta.level)
+
+    def fail(self) -> None:
+        """Learn from an attempt that got no word from the server."""
+        self.failures += 1
+        extra = self.failures - FAILURES_UNTIL_ASIDE
+        if extra >= 0:
+            aside_s = min(MOST_ASIDE_S, FIRST_ASIDE_S * 2**extra)
+            self.aside_until = clock.now() + aside_s
+
+
+class Balancer:
+    """Choose by two random draws, near servers first while they have room.
+
+    The better of two random choices avoids the herding of always taking the
+    least loaded one (Mitzenmacher, 2001).
+    """
+
+    def __init__(
+        self,
+        table: MemberTable,
+        zone: str,
+        half_life_s: float,
+        chance: random.Random,
+    ) -> None:
+        """Start without sights of any server."""
+        self.table = table
+        self.zone = zone
+        self.half_life_s = half_life_s
+        self.chance = chance
+        self.views: dict[str, ServerView] = {}
+        self.drained: frozenset[str] = frozenset()
+
+    def view(self, name: str) -> ServerView:
+        """Return what is known of a server."""
+        found = self.views.get(name)
+        if found is None:
+            found = ServerView(self.half_life_s)
+            self.views[name] = found
+        return found
+
+    def list_usable(self, service: str) -> list[NodeState]:
+        """Return the servers of a service that take new work."""
+        return [
+            state
+            for state in self.table.find_service(service)
+            if state.name not in self.drained
+        ]
+
+    def choose(
+        self,
+        service: str,
+        tried: Collection[str],
+    ) -> NodeState | None:
+        """Return a server for the next attempt, or None if there is none."""
+        usable = self.list_usable(service)
+        fresh = [state for state in usable if state.name not in tried]
+        candidates = self.leave_out_aside(fresh or usable)
+        if not candidates:
+            return None
+        if len(candidates) == 1:
+            return candidates[0]
+        first, second = self.chance.sample(candidates, 2)
+        return min(first, second, key=self.cost)
+
+    def leave_out_aside(self, states: list[NodeState]) -> list[NodeState]:
+        """Drop servers put aside, but never more than a share of them."""
+        good = [state for state in states if not self.view(state.name).is_aside]
+        if len(good) < len(states) * ASIDE_SHARE:
+            return states
+        return good
+
+    def cost(self, state: NodeState) -> float:
+        """Return how busy a server is; another zone counts as some load."""
+        view = self.view(state.name)
+        cost = view.load + view.in_flight / max(1, state.slots)
+        if state.zone != self.zone:
+            cost += OTHER_ZONE_LOAD
+        return cost
+
+    def service_level(self, service: str) -> float:
+        """Return the lowest admission level among the servers of a service."""
+        levels = [
+            self.view(state.name).level.read()
+            for state in self.list_usable(service)
+        ]
+        return min(levels, default=0)
--- /dev/null
+++ b/limpetshore/bodies.py
@@ -0,0 +1,147 @@
+"""Read request bodies and send answers through ASGI."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import anyio
+import msgspec
+
+from limpetshore.errors import LimpetshoreError, refuse
+from limpetshore.httpclient import Headers
+from limpetshore.messages import (
+    REASON_HEADER,
+    REQUEST_ID_HEADER,
+    VERDICT_HEADER,
+    take_header,
+)
+from limpetshore.verdicts import Reason, Refusal
+
+
+class CallerGoneError(LimpetshoreError):
+    """Report that the caller hung up or stopped sending."""
+
+
+class RequestBody:
+    """Read the body of one request, in bounded memory."""
+
+    def __init__(
+        self,
+        headers: Headers,
+        receive: Any,
+        *,
+        max_bytes: int,
+        stall_s: float,
+    ) -> None:
+        """Look at the headers; refuse a body that is announced too large."""
+        self.receive = receive
+        self.max_bytes = max_bytes
+        self.stall_s = stall_s
+        self.length = take_header(headers, b'content-length')
+        is_chunked = take_header(headers, b'transfer-encoding') is not None
+        self.is_complete = not is_chunked and self.length in {None, b'0'}
+        self.completed = anyio.Event()
+        self.bytes_read = 0
+        if self.is_complete:
+            self.completed.set()
+        if self.length is not None and int(self.length) > max_bytes:
+            raise refuse(Reason.BODY_TOO_LARGE, f'over {max_bytes} bytes')
+
+    async def read_piece(self) -> bytes:
+        """Return the next piece as it comes."""
+        message = {'type': 'http.disconnect'}
+        with anyio.move_on_after(self.stall_s):
+            message = await self.receive()
+        if message['type'] == 'http.disconnect':
+            raise CallerGoneError('the caller went while sending its request')
+        piece = message.get('body', b'')
+        self.bytes_read += len(piece)
+        if self.bytes_read > self.max_bytes:
+            raise refuse(Reason.BODY_TOO_LARGE, f'over {self.max_bytes} bytes')
+        if not message.get('more_body', False):
+            self.is_complete = True
+            self.completed.set()
+        return piece
+
+    async def read_first(self, up_to: int) -> bytes:
+        """Return the whole body if it is short, else its beginning."""
+        pieces: list[bytes] = []
+        while not self.is_complete and self.bytes_read <= up_to:
+            pieces.append(await self.read_piece())
+        return b''.join(pieces)
+
+    async def read_rest(self) -> AsyncIterator[bytes]:
+        """Yield what follows the beginning."""
+        while not self.is_complete:
+            yield await self.read_piece()
+
+    async def wait_gone(self) -> None:
+        """Return once the caller hangs up after its whole request."""
+        await self.completed.wait()
+        message = await self.receive()
+        while message['type'] != 'http.disconnect':
+            message = await self.receive()
+
+
+class AnswerSender:
+    """Send an answer to one request, with a bound on standing still."""
+
+    def __init__(self, send: Any, stall_s: float) -> None:
+        """Start before the head."""
+        self.send = send
+        self.stall_s = stall_s
+        self.has_started = False
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the status and headers."""
+        self.has_started = True
+        await self.send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': headers,
+            }
+        )
+
+    async def send_body(self, chunk: bytes, *, is_last: bool) -> None:
+        """Send a piece of the body; give up on a caller that reads nothing."""
+        with anyio.move_on_after(self.stall_s):
+            await self.send(
+                {
+                    'type': 'http.response.body',
+                    'body': chunk,
+                    'more_body': not is_last,
+                }
+            )
+            return
+        raise CallerGoneError('the caller stopped reading its answer')
+
+
+async def send_refusal(
+    sender: AnswerSender,
+    refusal: Refusal,
+    request_id: str,
+    extra: Headers | None = None,
+) -> None:
+    """Send a refusal with its verdict in headers and body."""
+    body = msgspec.json.encode(
+        {
+            'verdict': refusal.verdict.value,
+            'reason': refusal.reason.value,
+            'retry_after_s': round(refusal.retry_after, 3),
+            'request_id': request_id,
+            'detail': refusal.detail,
+        }
+    )
+    headers = [
+        (b'content-type', b'application/json'),
+        (b'content-length', b'%d' % len(body)),
+        (VERDICT_HEADER, refusal.verdict.value.encode()),
+        (REASON_HEADER, refusal.reason.value.encode()),
+        (REQUEST_ID_HEADER, request_id.encode()),
+        *(extra or []),
+    ]
+    if refusal.retry_after:
+        seconds = max(1, round(refusal.retry_after))
+        headers.append((b'retry-after', b'%d' % seconds))
+    await sender.start(refusal.status, headers)
+    await sender.send_body(body, is_last=True)
--- /dev/null
+++ b/limpetshore/cli.py
@@ -0,0 +1,270 @@
+"""Offer the command line to operators and to whatever starts the node."""
+
+import contextlib
+from collections.abc import Awaitable, Callable, Iterator
+from pathlib import Path
+from typing import Annotated, Any
+
+import anyio
+import httpcore
+import msgspec
+import typer
+
+from limpetshore import log, node, operators
+from limpetshore.errors import (
+    LimpetshoreError,
+    SettingsError,
+    StoreError,
+    TicketError,
+)
+from limpetshore.metrics import Metrics
+from limpetshore.policies import Customer, Policy, hash_key, issue_key
+from limpetshore.settings import (
+    describe_settings,
+    load_settings,
+    parse_address,
+)
+from limpetshore.store import HttpObjectStore, ObjectStore
+from limpetshore.tickets import Outcome, Ticket, load_ticket
+
+BAD_INPUT = 2
+FAILED = 1
+STORE_TIMEOUT_S = 3
+SHOWN_HASH = 12
+
+StoreOption = Annotated[
+    str,
+    typer.Option('--store', help='Address of the object API, host:port.'),
+]
+OperatorOption = Annotated[
+    str,
+    typer.Option('--operator', help='Who asks, recorded with the ticket.'),
+]
+NumberOption = Annotated[
+    int,
+    typer.Option('--number', help='Ticket number; 0 takes the next.'),
+]
+
+app = typer.Typer(
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    help='Control overload in service call graphs.',
+)
+
+
+@contextlib.contextmanager
+def explain_errors() -> Iterator[None]:
+    """Print errors as lines that say what to do, and exit."""
+    try:
+        yield
+    except (SettingsError, TicketError) as error:
+        for mistake in error.mistakes:
+            typer.echo(f'error: {mistake}', err=True)
+        raise typer.Exit(BAD_INPUT) from error
+    except (LimpetshoreError, OSError) as error:
+        typer.echo(f'error: {error}', err=True)
+        raise typer.Exit(FAILED) from error
+
+
+def with_store(
+    address: str,
+    work: Callable[[ObjectStore], Awaitable[Any]],
+) -> Any:
+    """Run some work with a connection to the store."""
+
+    async def run_work() -> Any:  # noqa: WPS430
+        store = HttpObjectStore(
+            parse_address(address),
+            STORE_TIMEOUT_S,
+            Metrics(),
+        )
+        try:
+            return await work(store)
+        finally:
+            await store.close()
+
+    return anyio.run(run_work)
+
+
+def apply_and_report(address: str, ticket: Ticket) -> Outcome:
+    """Apply a ticket and say what came of it."""
+
+    async def apply(store: ObjectStore) -> Outcome:  # noqa: WPS430
+        return await operators.apply(store, ticket)
+
+    outcome = with_store(address, apply)
+    word = 'already in force' if outcome.is_already_done else 'accepted'
+    typer.echo(f'ticket {ticket.number} {word}, version {outcome.version}')
+    return outcome
+
+
+def read_policy(address: str) -> Policy:
+    """Return the policy in the store."""
+    policy, _ = with_store(address, operators.read_policy)
+    return policy
+
+
+def find_customer(policy: Policy, name: str) -> Customer:
+    """Return a customer of the policy, or say who there is."""
+    if name not in policy.customers:
+        known = ', '.join(sorted(policy.customers)) or 'none'
+        raise TicketError([f'no customer {name!r}; there are: {known}'])
+    return policy.customers[name]
+
+
+@app.command('node')
+def run_node(path: Path) -> None:
+    """Run a node with a settings file until it is told to stop."""
+    with explain_errors():
+        settings = load_settings(path)
+        log.set_up(settings.log.level, settings.node.name)
+        node.run(settings)
+
+
+@app.command()
+def check(path: Path) -> None:
+    """Check a settings file and list every mistake."""
+    with explain_errors():
+        load_settings(path)
+    typer.echo(f'{path}: good')
+
+
+@app.command()
+def settings() -> None:
+    """Print the reference page of all settings."""
+    typer.echo(describe_settings())
+
+
+@app.command('check-ticket')
+def check_ticket_file(path: Path) -> None:
+    """Check a ticket file by itself and list every mistake."""
+    with explain_errors():
+        ticket = load_ticket(path)
+    typer.echo(f'{path}: ticket {ticket.number} is well formed')
+
+
+@app.command('apply')
+def apply_file(path: Path, store: StoreOption) -> None:
+    """Apply a ticket; applying the same file again does no harm."""
+    with explain_errors():
+        apply_and_report(store, load_ticket(path))
+
+
+@app.command()
+def show(store: StoreOption) -> None:
+    """Show the policy in force, as recorded in the store."""
+    with explain_errors():
+        policy = read_policy(store)
+    shown = {
+        'number': policy.number,
+        'customers': {
+            name: customer._asdict()
+            for name, customer in policy.customers.items()
+        },
+        'routes': {
+            name: route._asdict() for name, route in policy.routes.items()
+        },
+        'drained': policy.drained,
+        'last_tickets': [ticket._asdict() for ticket in policy.accepted[-5:]],
+    }
+    typer.echo(msgspec.json.format(msgspec.json.encode(shown)).decode())
+
+
+@app.command('issue-key')
+def issue_key_for(
+    customer: str,
+    store: StoreOption,
+    operator: OperatorOption = 'unnamed',
+    number: NumberOption = 0,
+) -> None:
+    """Issue a key for a customer; it is printed once and kept nowhere."""
+    key = issue_key()
+    with explain_errors():
+        policy = read_policy(store)
+        record = find_customer(policy, customer)
+        hashes = [*record.key_hashes, hash_key(key)]
+        ticket = Ticket(
+            number=number or policy.number + 1,
+            operator=operator,
+            customers={customer: record._replace(key_hashes=hashes)},
+        )
+        apply_and_report(store, ticket)
+    typer.echo(key)
+
+
+@app.command('withdraw-key')
+def withdraw_key(
+    customer: str,
+    key_or_hash: str,
+    store: StoreOption,
+    operator: OperatorOption = 'unnamed',
+    number: NumberOption = 0,
+) -> None:
+    """Withdraw a key, given itself or the first digits of its hash."""
+    with explain_errors():
+        policy = read_policy(store)
+        record = find_customer(policy, customer)
+        full_hash = hash_key(key_or_hash)
+        kept = [
+            key_hash
+            for key_hash in record.key_hashes
+            if key_hash != full_hash
+            and not (
+                len(key_or_hash) >= SHOWN_HASH
+                and key_hash.startswith(key_or_hash)
+            )
+        ]
+        if len(kept) == len(record.key_hashes):
+            raise TicketError([f'{customer} has no such key'])
+        ticket = Ticket(
+            number=number or policy.number + 1,
+            operator=operator,
+            customers={customer: record._replace(key_hashes=kept)},
+        )
+        apply_and_report(store, ticket)
+
+
+@app.command()
+def drain(
+    nodes: list[str],
+    store: StoreOption,
+    operator: OperatorOption = 'unnamed',
+    number: NumberOption = 0,
+    *,
+    undo: Annotated[
+        bool,
+        typer.Option('--undo', help='Give the nodes work again.'),
+    ] = False,
+) -> None:
+    """Give the servers beside some nodes no new work."""
+    with explain_errors():
+        policy = read_policy(store)
+        drained = set(policy.drained)
+        drained = drained - set(nodes) if undo else drained | set(nodes)
+        ticket = Ticket(
+            number=number or policy.number + 1,
+            operator=operator,
+            drained=tuple(sorted(drained)),
+        )
+        apply_and_report(store, ticket)
+
+
+@app.command()
+def status(
+    admin: Annotated[
+        str,
+        typer.Option('--admin', help='Admin address of a node, host:port.'),
+    ],
+) -> None:
+    """Show what a node knows and does."""
+    with explain_errors():
+        try:
+            response = httpcore.request('GET', f'http://{admin}/status')
+        except httpcore.NetworkError as error:
+            raise StoreError(f'no answer from {admin}: {error}') from error
+    typer.echo(msgspec.json.format(response.content).decode())
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/limpetshore/exchanges.py
@@ -0,0 +1,142 @@
+"""Have one request answered, by the local server or through another node."""
+
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+import anyio
+from anyio.abc import TaskGroup
+
+from limpetshore import clock
+from limpetshore.bodies import CallerGoneError
+from limpetshore.errors import LimpetshoreError, RefusedError, refuse
+from limpetshore.httpclient import Headers, HttpConnection, ResponseHead
+from limpetshore.messages import AnswerMeta, CallMeta
+from limpetshore.verdicts import Reason, Refusal, Verdict
+
+
+class OutboundRequest(NamedTuple):
+    """Hold a request on its way; `deadline` is on the local clock.
+
+    `first` is the part of the body already read, `rest` what follows.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    first: bytes
+    rest: AsyncIterator[bytes] | None
+    length: bytes | None
+    meta: CallMeta
+    deadline: float
+    tasks: TaskGroup
+
+
+class Answer(NamedTuple):
+    """Hold the beginning of an answer."""
+
+    head: ResponseHead
+    meta: AnswerMeta
+
+
+class AnswerRefusedError(RefusedError):
+    """Carry a refusal by a guard together with what the guard reported."""
+
+    def __init__(self, refusal: Refusal, meta: AnswerMeta) -> None:
+        """Keep both."""
+        super().__init__(refusal)
+        self.meta = meta
+
+
+class Exchange(ABC):
+    """Carry one attempt from its first byte to the end of its answer."""
+
+    @abstractmethod
+    async def open(self, request: OutboundRequest) -> Answer:
+        """Send the request and wait for the answer to begin.
+
+        Raise RefusedError with the verdict if there is none.
+        """
+
+    @abstractmethod
+    async def read_chunk(self) -> bytes:
+        """Return the next piece of the answer, empty at its end."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Give back what the attempt holds; stop it if it still runs."""
+
+
+async def send_request(
+    connection: HttpConnection,
+    request: OutboundRequest,
+    headers: Headers,
+) -> None:
+    """Send the head and the body, a streamed body from a task of its own."""
+    headers = [*headers, *frame_headers(request)]
+    if request.rest is None:
+        await connection.send_head(
+            request.method,
+            request.target,
+            headers,
+            request.first,
+        )
+        return
+    await connection.send_head(request.method, request.target, headers)
+    request.tasks.start_soon(pump_body, connection, request)
+
+
+def frame_headers(request: OutboundRequest) -> Headers:
+    """Return the headers that tell how long the body is."""
+    if request.length is not None:
+        return [(b'content-length', request.length)]
+    if request.rest is not None:
+        return [(b'transfer-encoding', b'chunked')]
+    if request.first:
+        return [(b'content-length', b'%d' % len(request.first))]
+    return []
+
+
+async def pump_body(
+    connection: HttpConnection,
+    request: OutboundRequest,
+) -> None:
+    """Send a body as it comes; the reader of the answer sees a failure."""
+    is_chunked = request.length is None
+    try:
+        await send_piece(connection, request.first, is_chunked=is_chunked)
+        async for piece in request.rest:
+            await send_piece(connection, piece, is_chunked=is_chunked)
+        if is_chunked:
+            await connection.send(b'0\r\n\r\n')
+    except CallerGoneError:
+        request.tasks.cancel_scope.cancel()
+    except LimpetshoreError:
+        await connection.close()
+
+
+async def send_piece(
+    connection: HttpConnection,
+    piece: bytes,
+    *,
+    is_chunked: bool,
+) -> None:
+    """Send one piece of a body."""
+    if is_chunked and piece:
+        piece = b'%x\r\n%b\r\n' % (len(piece), piece)
+    if piece:
+        await connection.send(piece)
+
+
+async def read_head_by(
+    connection: HttpConnection,
+    deadline: float,
+) -> ResponseHead:
+    """Wait for the head of an answer until a deadline."""
+    with anyio.move_on_after(max(0, deadline - clock.now())):
+        return await connection.read_head()
+    raise refuse(
+        Reason.DEADLINE,
+        'no answer before the deadline',
+        verdict=Verdict.MAY_HAVE_RUN,
+    )
--- /dev/null
+++ b/limpetshore/granting.py
@@ -0,0 +1,65 @@
+"""Reach the nodes that grant tokens."""
+
+from limpetshore.control import ControlClient
+from limpetshore.errors import PeerError
+from limpetshore.fleet import FleetState
+from limpetshore.members import Status
+from limpetshore.messages import GrantReply, GrantRequest, TokenAsk, TokenGrant
+from limpetshore.purses import Granter
+
+GRANT_TIMEOUT_S = 0.5
+
+
+class FleetGranter(Granter):
+    """Ask the holder that the ledger names for each shard."""
+
+    def __init__(self, fleet: FleetState, client: ControlClient) -> None:
+        """Use the ledger and members of the fleet."""
+        self.fleet = fleet
+        self.client = client
+
+    def find_shards(self, customer: str) -> list[int]:
+        """Return the shards of a customer, those held by living nodes first."""
+        shards = self.fleet.keeper.find_shards(customer)
+        own = self.fleet.table.own_name
+        if shards:
+            turn = sum(own.encode()) % len(shards)
+            shards = shards[turn:] + shards[:turn]
+        return sorted(shards, key=self.is_doubtful)
+
+    def is_doubtful(self, shard: int) -> bool:
+        """Tell whether the holder of a shard may not answer."""
+        holder = self.fleet.table.get(self.fleet.keeper.holder_name(shard))
+        return holder is None or holder.status >= Status.SUSPECT
+
+    async def ask(self, ask: TokenAsk) -> TokenGrant | None:
+        """Return what was granted, or None if no holder answered."""
+        own = self.fleet.table.own
+        request = GrantRequest(f'{own.name}#{own.incarnation}', [ask])
+        reply = await self.send(ask.shard, request)
+        if reply is None or not reply.grants:
+            return None
+        return reply.grants[0]
+
+    async def send(
+        self,
+        shard: int,
+        request: GrantRequest,
+    ) -> GrantReply | None:
+        """Pass a request to the holder of a shard, maybe this node."""
+        name = self.fleet.keeper.holder_name(shard)
+        holder = self.fleet.table.get(name)
+        if holder is None:
+            return None
+        if name == self.fleet.table.own_name:
+            return self.fleet.keeper.grant(request)
+        try:
+            return await self.client.call(
+                holder.control,
+                'Grant',
+                request,
+                GrantReply,
+                GRANT_TIMEOUT_S,
+            )
+        except PeerError:
+            return None
--- /dev/null
+++ b/limpetshore/guard.py
@@ -0,0 +1,308 @@
+"""Admit calls to the local backend server and carry them there."""
+
+import anyio
+
+from limpetshore import clock
+from limpetshore.admission import Admission
+from limpetshore.backends import LocalBackend, is_shed
+from limpetshore.calls import (
+    ArrivalLog,
+    CallContext,
+    RunningCall,
+    RunningCalls,
+)
+from limpetshore.errors import (
+    BrokenError,
+    ConnectError,
+    RefusedError,
+    TruncatedError,
+    refuse,
+)
+from limpetshore.exchanges import (
+    Answer,
+    AnswerRefusedError,
+    Exchange,
+    OutboundRequest,
+    read_head_by,
+    send_request,
+)
+from limpetshore.httpclient import Headers, HttpConnection, HttpPool
+from limpetshore.limits import ConcurrencyLimit
+from limpetshore.messages import (
+    CUSTOMER_HEADER,
+    REQUEST_ID_HEADER,
+    TIMEOUT_HEADER,
+    TOKEN_HEADER,
+    AnswerMeta,
+    CallMeta,
+    ProbeReply,
+    ProbeRequest,
+)
+from limpetshore.metrics import Metrics
+from limpetshore.policies import Importance
+from limpetshore.repeats import RequestLog, parse_request_id
+from limpetshore.settings import NodeSettings, parse_address
+from limpetshore.standing import Standing
+from limpetshore.verdicts import Reason, Refusal, Verdict
+
+MS_IN_S = 1000
+FRESH_IDLE_S = 0.5
+
+
+class Guard:
+    """Hold the state of all calls to the local backend server."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        metrics: Metrics,
+        standing: Standing,
+    ) -> None:
+        """Start without a backend server."""
+        self.settings = settings
+        self.metrics = metrics
+        self.standing = standing
+        call = settings.call
+        admission = settings.admission
+        address = parse_address(settings.backend.address)
+        self.pool = HttpPool(address, call.max_idle_s)
+        self.calls_from = settings.backend.calls_from or address.host
+        self.backend = LocalBackend(
+            settings.backend.max_slots,
+            settings.backend.announce_lapse_s,
+        )
+        self.running = RunningCalls()
+        self.arrivals = ArrivalLog()
+        self.open_calls: set[str] = set()
+        self.requests = RequestLog(
+            settings.fleet.id_window_s,
+            settings.fleet.clock_skew_s,
+        )
+        self.admission = Admission(
+            ConcurrencyLimit(
+                1,
+                initial_share=admission.initial_share,
+                tolerance=admission.latency_tolerance,
+            ),
+            queue_per_slot=admission.queue_per_slot,
+            max_wait_s=admission.max_wait_s,
+        )
+        self.is_leaving = False
+
+    @property
+    def accepts_work(self) -> bool:
+        """Tell whether new calls may come."""
+        return (
+            self.backend.is_ready
+            and not self.is_leaving
+            and not self.standing.is_drained
+        )
+
+    def follow_backend(self, *, is_new: bool) -> None:
+        """Adjust to an announcement; a new server starts cold."""
+        limit = self.admission.limit
+        if is_new:
+            slots = self.backend.slots
+            self.admission.limit = ConcurrencyLimit(
+                slots,
+                initial_share=self.settings.admission.initial_share,
+                tolerance=limit.tolerance,
+            )
+        else:
+            limit.resize(self.backend.slots)
+        self.admission.admit_waiting()
+
+    def probe(self, request: ProbeRequest) -> ProbeReply:
+        """Tell whether a call arrived; if not, it will never run."""
+        is_voided = self.arrivals.void(request.call_id, request.age)
+        return ProbeReply(not is_voided, request.call_id in self.open_calls)
+
+    def describe_answer(
+        self,
+        refusal: Refusal | None = None,
+        call: RunningCall | None = None,
+    ) -> AnswerMeta:
+        """Return what goes back to the ingress with an answer."""
+        return AnswerMeta(
+            verdict=refusal.verdict.value if refusal else '',
+            reason=refusal.reason.value if refusal else '',
+            retry_after=refusal.retry_after if refusal else 0,
+            retries_spent=call.budget.spent if call else 0,
+            level=round(self.admission.level.read(), 3),
+            deep_level=round(call.deep_level, 3) if call else 0,
+            load=round(self.admission.load, 3),
+        )
+
+
+class GuardExchange(Exchange):
+    """Carry one call to the local backend server."""
+
+    def __init__(self, guard: Guard) -> None:
+        """Prepare; nothing is held before `open`."""
+        self.guard = guard
+        self.meta: CallMeta | None = None
+        self.call: RunningCall | None = None
+        self.token = ''
+        self.connection: HttpConnection | None = None
+        self.has_slot = False
+        self.started: float = 0
+
+    async def open(self, request: OutboundRequest) -> Answer:
+        """Admit the call, hand it to the server, wait for the answer."""
+        self.meta = request.meta
+        try:
+            return await self.admit_and_hand_over(request)
+        except RefusedError as error:
+            described = self.guard.describe_answer(error.refusal, self.call)
+            raise AnswerRefusedError(error.refusal, described) from error
+
+    async def admit_and_hand_over(self, request: OutboundRequest) -> Answer:
+        """Take all the steps of a call up to the head of its answer."""
+        guard = self.guard
+        self.check_accepted(request.meta)
+        self.claim_id(request.meta)
+        guard.open_calls.add(request.meta.call_id)
+        try:
+            await self.take_slot(request)
+            connection = await self.connect()
+        except BaseException:
+            self.release_id(request.meta)
+            raise
+        return await self.hand_over(request, connection)
+
+    def check_accepted(self, meta: CallMeta) -> None:
+        """Refuse what must not come to this server."""
+        guard = self.guard
+        if not guard.arrivals.admit(meta.call_id):
+            raise refuse(Reason.SILENT, 'the call came after it was given up')
+        if not guard.accepts_work:
+            raise refuse(Reason.DRAINING, 'the server takes no new work')
+
+    def claim_id(self, meta: CallMeta) -> None:
+        """Refuse a request that may not be repeated and may have run."""
+        if meta.is_repeatable or not meta.is_id_from_caller:
+            return
+        guard = self.guard
+        request_id = parse_request_id(meta.request_id)
+        if request_id is None:
+            raise refuse(Reason.REQUEST_ID, 'no time of birth in the id')
+        guard.standing.check_owner(meta.request_id)
+        if not guard.requests.claim(request_id):
+            raise refuse(
+                Reason.REPEATED,
+                'a request of this id may have run before',
+                verdict=Verdict.MAY_HAVE_RUN,
+            )
+
+    def release_id(self, meta: CallMeta) -> None:
+        """Give an id back after a refusal that is truly "not run"."""
+        if meta.is_repeatable or not meta.is_id_from_caller:
+            return
+        request_id = parse_request_id(meta.request_id)
+        if request_id is not None:
+            self.guard.requests.release(request_id)
+
+    async def take_slot(self, request: OutboundRequest) -> None:
+        """Wait until the call may run."""
+        meta = request.meta
+        await self.guard.admission.acquire(
+            meta.customer,
+            Importance(meta.importance),
+            request.deadline,
+        )
+        self.has_slot = True
+
+    async def connect(self) -> HttpConnection:
+        """Return a connection to the server.
+
+        A request that may not be repeated takes one that was used just now,
+        or a new one, since a kept connection may be closing.
+        """
+        max_idle_s = None if self.meta.is_repeatable else FRESH_IDLE_S
+        try:
+            self.connection = await self.guard.pool.acquire(max_idle_s)
+        except ConnectError as error:
+            raise refuse(Reason.UNREACHABLE, str(error)) from error
+        return self.connection
+
+    async def hand_over(
+        self,
+        request: OutboundRequest,
+        connection: HttpConnection,
+    ) -> Answer:
+        """Send the request and wait for the head of the answer."""
+        self.start_call(request)
+        self.started = clock.now()
+        try:
+            await send_request(connection, request, self.add_headers(request))
+            head = await read_head_by(connection, request.deadline)
+        except (BrokenError, TruncatedError) as error:
+            raise refuse(
+                Reason.BROKEN,
+                str(error),
+                verdict=Verdict.MAY_HAVE_RUN,
+            ) from error
+        if is_shed(head.status, head.headers):
+            self.guard.admission.limit.observe_shed()
+            self.release_id(request.meta)
+            raise refuse(Reason.SERVER_SHED, 'the server shed the request')
+        described = self.guard.describe_answer(call=self.call)
+        self.call.budget.close()
+        return Answer(head, described)
+
+    def start_call(self, request: OutboundRequest) -> None:
+        """Let the server make nested calls on behalf of this one."""
+        meta = request.meta
+        context = CallContext(
+            meta.customer,
+            Importance(meta.importance),
+            request.deadline,
+            meta.request_id,
+            meta.depth,
+        )
+        self.call = RunningCall(context, meta.retries_left)
+        self.token = self.guard.running.start(self.call)
+
+    def add_headers(self, request: OutboundRequest) -> Headers:
+        """Return the headers for the server."""
+        meta = request.meta
+        left_ms = int((request.deadline - clock.now()) * MS_IN_S)
+        return [
+            *request.headers,
+            (TOKEN_HEADER, self.token.encode()),
+            (CUSTOMER_HEADER, meta.customer.encode()),
+            (REQUEST_ID_HEADER, meta.request_id.encode()),
+            (TIMEOUT_HEADER, b'%d' % max(1, left_ms)),
+        ]
+
+    async def read_chunk(self) -> bytes:
+        """Return the next piece of the answer, empty at its end."""
+        with anyio.move_on_after(self.guard.settings.call.stall_s):
+            chunk = await self.connection.read_chunk()
+            if not chunk:
+                self.finish_whole()
+            return chunk
+        raise TruncatedError('the server stopped sending its answer')
+
+    def finish_whole(self) -> None:
+        """Learn from a whole answer."""
+        guard = self.guard
+        latency = clock.now() - self.started
+        guard.admission.observe(latency)
+        guard.metrics.answers.labels('guard').inc()
+        guard.metrics.latency.labels('guard').observe(latency)
+
+    async def close(self) -> None:
+        """End the call, give back its slot and its connection."""
+        guard = self.guard
+        guard.running.finish(self.token)
+        if self.meta:
+            guard.open_calls.discard(self.meta.call_id)
+        if self.has_slot:
+            self.has_slot = False
+            guard.admission.release(self.meta.customer)
+        connection = self.connection
+        self.connection = None
+        if connection:
+            with anyio.CancelScope(shield=True):
+                await guard.pool.release(connection)
--- /dev/null
+++ b/limpetshore/httpserver.py
@@ -0,0 +1,131 @@
+"""Serve HTTP/1.1 by uvicorn, with bounds on what a client may hold open."""
+
+import contextlib
+import logging
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import anyio
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from limpetshore.httpclient import UNACKED_TIMEOUT_MS, Address
+
+MAX_HEADER_BYTES = 32768
+HEADER_TIMEOUT_S = 10.0
+KEEP_ALIVE_S = 75
+BACKLOG = 2048
+START_POLL_S = 0.005
+TOO_LARGE = (
+    b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
+    b'connection: close\r\ncontent-length: 0\r\n'
+    b'x-limpetshore-verdict: not-run\r\n'
+    b'x-limpetshore-reason: bad_request\r\n\r\n'
+)
+
+
+class BoundedHttpProtocol(HttpToolsProtocol):
+    """Bound the size of headers and the time they may take."""
+
+    header_bytes = 0
+    is_in_headers = True
+    header_timer: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        """Start the header timer and detect peers that acknowledge nothing."""
+        super().connection_made(transport)
+        raw_socket = transport.get_extra_info('socket')
+        if raw_socket.family != socket.AF_UNIX:
+            raw_socket.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                UNACKED_TIMEOUT_MS,
+            )
+        self.header_timer = self.loop.call_later(
+            HEADER_TIMEOUT_S,
+            transport.close,
+        )
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop the header timer."""
+        self.header_timer.cancel()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Count the bytes of headers before they are parsed."""
+        if self.is_in_headers:
+            self.header_bytes += len(data)
+        super().data_received(data)
+        if self.is_in_headers and self.header_bytes > MAX_HEADER_BYTES:
+            self.transport.write(TOO_LARGE)
+            self.transport.close()
+
+    def on_headers_complete(self) -> None:
+        """Stop counting."""
+        self.header_timer.cancel()
+        self.is_in_headers = False
+        self.header_bytes = 0
+        super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        """Count again for the next request on the connection."""
+        self.is_in_headers = True
+        super().on_message_complete()
+
+
+class HttpServer(uvicorn.Server):
+    """Serve one ASGI application on one address until told to stop."""
+
+    def __init__(
+        self,
+        application: Any,
+        address: Address,
+        *,
+        graceful_s: float,
+    ) -> None:
+        """Configure uvicorn; `graceful_s` bounds the wait for open requests."""
+        logging.getLogger('uvicorn').setLevel(logging.CRITICAL)
+        super().__init__(
+            uvicorn.Config(
+                application,
+                host=address.host,
+                port=address.port,
+                http=BoundedHttpProtocol,
+                ws='none',
+                lifespan='off',
+                interface='asgi3',
+                log_config=None,
+                access_log=False,
+                proxy_headers=False,
+                server_header=False,
+                date_header=False,
+                backlog=BACKLOG,
+                timeout_keep_alive=KEEP_ALIVE_S,
+                timeout_graceful_shutdown=int(graceful_s) + 1,
+            ),
+        )
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave signals to the process that runs the server."""
+        yield
+
+    async def run_until_stopped(self) -> None:
+        """Serve until `stop`, then finish the open requests."""
+        self.stopped = anyio.Event()
+        await self.serve()
+        self.stopped.set()
+
+    async def wait_stopped(self) -> None:
+        """Return once the last open request has ended."""
+        await self.stopped.wait()
+
+    async def wait_started(self) -> None:
+        """Return once the port is open."""
+        while not self.started:
+            await anyio.sleep(START_POLL_S)  # uvicorn has no event for this
+
+    def stop(self) -> None:
+        """Close the listener, let open requests finish, then return."""
+        self.should_exit = True
--- /dev/null
+++ b/limpetshore/ingress.py
@@ -0,0 +1,448 @@
+"""Take requests from callers and the local backend server to an answer."""
+
+import random
+import secrets
+from typing import Any
+
+import anyio
+from logbook import Logger
+
+from limpetshore import clock
+from limpetshore.balancing import Balancer
+from limpetshore.bodies import (
+    AnswerSender,
+    CallerGoneError,
+    RequestBody,
+    send_refusal,
+)
+from limpetshore.budgets import RetryTokens, is_retry_safe
+from limpetshore.callers import (
+    CALLER_HEADERS_DROPPED,
+    ID_BYTES,
+    MS_IN_S,
+    Callers,
+    Origin,
+    RequestName,
+    read_request_name,
+)
+from limpetshore.errors import RefusedError, TruncatedError, refuse
+from limpetshore.exchanges import (
+    Answer,
+    AnswerRefusedError,
+    Exchange,
+    OutboundRequest,
+)
+from limpetshore.guard import Guard, GuardExchange
+from limpetshore.httpclient import Headers, HttpPool
+from limpetshore.levels import ReportedLevel, should_refuse
+from limpetshore.messages import (
+    REQUEST_ID_HEADER,
+    CallMeta,
+    NodeState,
+    clean_headers,
+    take_header,
+)
+from limpetshore.metrics import Metrics
+from limpetshore.peers import (
+    PeerExchange,
+    cancel_when_gone,
+    pass_on,
+    read_target,
+)
+from limpetshore.policies import PolicyIndex, RouteMatch
+from limpetshore.repeats import find_owner, parse_request_id
+from limpetshore.settings import NodeSettings, parse_address
+from limpetshore.standing import Standing
+from limpetshore.verdicts import Reason, Verdict
+
+logger = Logger(__name__)
+
+LOST_REASONS = frozenset(
+    (
+        Reason.BROKEN,
+        Reason.SILENT,
+        Reason.TRUNCATED,
+        Reason.UNREACHABLE,
+    )
+)
+SMALL_ANSWER_BYTES = 65536
+DEEP_LEVEL_WEIGHT = 0.2
+
+
+class Ingress:
+    """Hold what all requests that enter at this node share."""
+
+    def __init__(  # noqa: WPS211
+        self,
+        settings: NodeSettings,
+        metrics: Metrics,
+        guard: Guard,
+        balancer: Balancer,
+        callers: Callers,
+        standing: Standing,
+        chance: random.Random,
+    ) -> None:
+        """Start without a policy."""
+        self.settings = settings
+        self.metrics = metrics
+        self.guard = guard
+        self.balancer = balancer
+        self.callers = callers
+        self.standing = standing
+        self.chance = chance
+        self.index: PolicyIndex | None = None
+        self.pools: dict[str, HttpPool] = {}
+        self.retry_tokens: dict[str, RetryTokens] = {}
+        self.deep_levels: dict[str, ReportedLevel] = {}
+        self.is_leaving = False
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one request."""
+        handling = Handling(self, scope, receive, send)
+        await handling.run()
+
+    def pool(self, address: str) -> HttpPool:
+        """Return the connections to another node."""
+        found = self.pools.get(address)
+        if found is None:
+            found = HttpPool(
+                parse_address(address),
+                self.settings.call.max_idle_s,
+            )
+            self.pools[address] = found
+        return found
+
+    def tokens(self, service: str) -> RetryTokens:
+        """Return the retry tokens of a service."""
+        found = self.retry_tokens.get(service)
+        if found is None:
+            admission = self.settings.admission
+            found = RetryTokens(
+                admission.retry_tokens,
+                admission.retry_earning,
+            )
+            self.retry_tokens[service] = found
+        return found
+
+    def deep_level(self, route: str) -> ReportedLevel:
+        """Return the level met below a route."""
+        found = self.deep_levels.get(route)
+        if found is None:
+            found = ReportedLevel(self.settings.admission.level_half_life_s)
+            self.deep_levels[route] = found
+        return found
+
+    def open_exchange(self, server: NodeState) -> Exchange:
+        """Return the way to a server: the local guard or another node."""
+        if server.name == self.settings.node.name:
+            return GuardExchange(self.guard)
+        call = self.settings.call
+        return PeerExchange(
+            self.pool(server.peers),
+            call.silence_s,
+            call.stall_s,
+        )
+
+
+class Handling:
+    """Take one request from its head to the end of its answer."""
+
+    def __init__(
+        self,
+        ingress: Ingress,
+        scope: Any,
+        receive: Any,
+        send: Any,
+    ) -> None:
+        """Look at the headers."""
+        self.ingress = ingress
+        self.scope = scope
+        self.receive = receive
+        self.headers: Headers = scope['headers']
+        self.sender = AnswerSender(send, ingress.settings.call.stall_s)
+        self.started = clock.now()
+        self.name = RequestName('', is_from_caller=False)
+        self.tried: list[str] = []
+        self.origin: Origin | None = None
+
+    async def run(self) -> None:
+        """Answer the request or refuse it, never leave it without a word."""
+        try:
+            await self.serve()
+        except RefusedError as error:
+            self.ingress.metrics.count_refusal('ingress', error.refusal)
+            if not self.sender.has_started:
+                await send_refusal(self.sender, error.refusal, self.name.text)
+        except (CallerGoneError, TruncatedError) as error:
+            # An answer left without its end makes uvicorn cut the connection.
+            logger.debug('answer cut: {0}', error)
+
+    async def serve(self) -> None:
+        """Check the request, read its body and have it answered."""
+        self.name = read_request_name(self.headers)
+        index = self.ingress.index
+        if index is None:
+            raise refuse(Reason.NO_POLICY, 'this node has no policy yet')
+        match = index.find_route(self.scope['method'], self.scope['path'])
+        if match is None:
+            raise refuse(Reason.ROUTE_UNKNOWN, 'no route for method and path')
+        self.origin = await self.ingress.callers.identify(
+            self.scope,
+            index,
+            match,
+            self.name.text,
+        )
+        try:
+            await self.have_answered(match)
+        finally:
+            self.settle()
+
+    async def have_answered(self, match: RouteMatch) -> None:
+        """Read the body and try servers until one answers."""
+        self.check_levels(match)
+        body = self.open_body()
+        first = await body.read_first(self.ingress.settings.call.replay_bytes)
+        error: Exception | None = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(cancel_when_gone, body, tasks.cancel_scope)
+            request = self.build_request(match, body, first, tasks)
+            error = await self.attempt_until_answered(match, request)
+            tasks.cancel_scope.cancel()
+        if error is not None:
+            raise error
+
+    def check_levels(self, match: RouteMatch) -> None:
+        """Refuse early what a server further down would refuse late."""
+        ingress = self.ingress
+        importance = self.origin.context.importance
+        levels = (
+            ingress.balancer.service_level(match.route.service),
+            ingress.deep_level(match.name).read(),
+        )
+        if should_refuse(max(levels), importance, ingress.chance):
+            raise refuse(
+                Reason.OVERLOADED,
+                'a service on the way is overloaded',
+                retry_after=1,
+            )
+
+    def open_body(self) -> RequestBody:
+        """Return the request body, to be read in bounded memory."""
+        call = self.ingress.settings.call
+        return RequestBody(
+            self.headers,
+            self.receive,
+            max_bytes=call.max_body_bytes,
+            stall_s=call.stall_s,
+        )
+
+    def build_request(
+        self,
+        match: RouteMatch,
+        body: RequestBody,
+        first: bytes,
+        tasks: anyio.abc.TaskGroup,
+    ) -> OutboundRequest:
+        """Return what is sent on, without the caller's key."""
+        context = self.origin.context
+        birth = parse_request_id(self.name.text)
+        meta = CallMeta(
+            call_id='',
+            request_id=self.name.text,
+            customer=context.customer,
+            route=match.name,
+            importance=int(context.importance),
+            timeout_ms=0,
+            retries_left=0,
+            depth=context.depth,
+            is_repeatable=match.route.is_repeatable,
+            is_id_from_caller=self.name.is_from_caller,
+            birth_ms=int(birth.birth * MS_IN_S) if birth else 0,
+        )
+        return OutboundRequest(
+            method=self.scope['method'].encode(),
+            target=read_target(self.scope),
+            headers=clean_headers(self.headers, CALLER_HEADERS_DROPPED),
+            first=first,
+            rest=None if body.is_complete else body.read_rest(),
+            length=body.length,
+            meta=meta,
+            deadline=context.deadline,
+            tasks=tasks,
+        )
+
+    async def attempt_until_answered(
+        self,
+        match: RouteMatch,
+        request: OutboundRequest,
+    ) -> Exception | None:
+        """Try servers until one answers; return the last failure.
+
+        Failures are returned, not raised, since a task group would wrap them.
+        """
+        has_run = False
+        while True:
+            try:
+                await self.attempt(match, request)
+            except RefusedError as error:
+                refusal = error.refusal
+                has_run = has_run or refusal.verdict == Verdict.MAY_HAVE_RUN
+                if self.may_retry(match, request, error, has_run=has_run):
+                    continue
+                verdict = Verdict.MAY_HAVE_RUN if has_run else refusal.verdict
+                return RefusedError(refusal._replace(verdict=verdict))
+            except (CallerGoneError, TruncatedError) as error:
+                return error
+            return None
+
+    def may_retry(
+        self,
+        match: RouteMatch,
+        request: OutboundRequest,
+        error: RefusedError,
+        *,
+        has_run: bool,
+    ) -> bool:
+        """Decide on another attempt and pay for it."""
+        ingress = self.ingress
+        reason = error.refusal.reason
+        is_safe = is_retry_safe(
+            reason,
+            has_run=has_run,
+            is_repeatable=match.route.is_repeatable,
+        )
+        if not is_safe or request.rest is not None or self.sender.has_started:
+            return False
+        if clock.now() >= request.deadline:
+            return False
+        if not ingress.tokens(match.route.service).spend():
+            ingress.metrics.retries_withheld.labels('service_tokens').inc()
+            return False
+        if not self.origin.budget.spend():
+            ingress.metrics.retries_withheld.labels('request_budget').inc()
+            return False
+        ingress.metrics.retry_children[reason].inc()
+        return True
+
+    def choose_server(self, match: RouteMatch) -> NodeState:
+        """Return the server for the next attempt."""
+        ingress = self.ingress
+        service = match.route.service
+        server: NodeState | None = None
+        if match.route.is_repeatable or not self.name.is_from_caller:
+            server = ingress.balancer.choose(service, self.tried)
+        else:
+            owner = find_owner(
+                self.name.text,
+                ingress.standing.list_owners(service),
+            )
+            server = ingress.balancer.table.get(owner or '')
+        if server is None:
+            raise refuse(
+                Reason.NO_SERVER,
+                f'no server of {service} is known',
+                retry_after=1,
+            )
+        return server
+
+    async def attempt(
+        self,
+        match: RouteMatch,
+        request: OutboundRequest,
+    ) -> None:
+        """Have one server answer, and pass the answer to the caller."""
+        server = self.choose_server(match)
+        self.tried.append(server.name)
+        view = self.ingress.balancer.view(server.name)
+        lent = self.origin.budget.lend()
+        left_ms = int((request.deadline - clock.now()) * MS_IN_S)
+        meta = request.meta._replace(
+            call_id=secrets.token_hex(ID_BYTES),
+            timeout_ms=max(1, left_ms),
+            retries_left=lent,
+        )
+        exchange = self.ingress.open_exchange(server)
+        spent = lent  # what an attempt spent that ends without a word
+        view.in_flight += 1
+        try:
+            answer = await exchange.open(request._replace(meta=meta))
+            spent = answer.meta.retries_spent
+            await self.deliver(exchange, answer)
+            self.learn_success(match, server, answer)
+        except AnswerRefusedError as error:
+            spent = error.meta.retries_spent
+            view.succeed(error.meta)
+            self.learn_deep(match, error.meta.level, error.meta.deep_level)
+            raise
+        except RefusedError as error:
+            if error.refusal.verdict == Verdict.NOT_RUN:
+                spent = 0
+            if error.refusal.reason in LOST_REASONS:
+                view.fail()
+            raise
+        except TruncatedError:
+            view.fail()
+            raise
+        finally:
+            view.in_flight -= 1
+            self.origin.budget.settle(lent, spent)
+            await exchange.close()
+
+    def learn_success(
+        self,
+        match: RouteMatch,
+        server: NodeState,
+        answer: Answer,
+    ) -> None:
+        """Learn from a whole answer."""
+        ingress = self.ingress
+        ingress.balancer.view(server.name).succeed(answer.meta)
+        ingress.tokens(match.route.service).earn()
+        self.learn_deep(match, 0, answer.meta.deep_level)
+        ingress.metrics.answers.labels('ingress').inc()
+        ingress.metrics.latency.labels('ingress').observe(
+            clock.now() - self.started,
+        )
+
+    def learn_deep(
+        self,
+        match: RouteMatch,
+        level: float,
+        deep_level: float,
+    ) -> None:
+        """Pass admission levels on to the route and to the call above."""
+        self.ingress.deep_level(match.name).report(
+            deep_level,
+            DEEP_LEVEL_WEIGHT,
+        )
+        if self.origin.parent:
+            self.origin.parent.report_deep_level(max(level, deep_level))
+
+    async def deliver(self, exchange: Exchange, answer: Answer) -> None:
+        """Pass an answer on; a short one only once it is whole."""
+        length = take_header(answer.head.headers, b'content-length')
+        mark = (REQUEST_ID_HEADER, self.name.text.encode('latin-1'))
+        if length is None or int(length) > SMALL_ANSWER_BYTES:
+            await pass_on(exchange, self.sender, answer, [mark])
+            return
+        chunks = []
+        try:
+            while chunk := await exchange.read_chunk():
+                chunks.append(chunk)
+        except TruncatedError as error:
+            raise refuse(
+                Reason.TRUNCATED,
+                str(error),
+                verdict=Verdict.MAY_HAVE_RUN,
+            ) from error
+        headers = clean_headers(answer.head.headers, frozenset())
+        await self.sender.start(answer.head.status, [*headers, mark])
+        await self.sender.send_body(b''.join(chunks), is_last=True)
+
+    def settle(self) -> None:
+        """Give back to the call above what its nested call did not spend."""
+        parent = self.origin.parent
+        if parent is not None:
+            budget = self.origin.budget
+            parent.budget.settle(budget.granted, budget.spent)
+            self.origin = self.origin._replace(parent=None)
--- /dev/null
+++ b/limpetshore/messages.py
@@ -0,0 +1,219 @@
+"""Define what nodes say to each other, and its encoding."""
+
+from typing import Any, NamedTuple, TypeVar
+
+import msgspec
+
+from limpetshore.httpclient import Headers
+
+Message = TypeVar('Message')
+
+CALL_HEADER = b'x-limpetshore-call'
+ANSWER_HEADER = b'x-limpetshore-answer'
+TOKEN_HEADER = b'x-limpetshore-token'
+CUSTOMER_HEADER = b'x-limpetshore-customer'
+REQUEST_ID_HEADER = b'x-request-id'
+TIMEOUT_HEADER = b'x-request-timeout-ms'
+VERDICT_HEADER = b'x-limpetshore-verdict'
+REASON_HEADER = b'x-limpetshore-reason'
+PREFIX = b'x-limpetshore-'
+
+HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'expect',
+    )
+)
+
+
+class CallMeta(NamedTuple):
+    """Travel with a call from the ingress to the guard."""
+
+    call_id: str
+    request_id: str
+    customer: str
+    route: str
+    importance: int
+    timeout_ms: int
+    retries_left: int
+    depth: int
+    is_repeatable: bool
+    is_id_from_caller: bool
+    birth_ms: int
+
+
+class AnswerMeta(NamedTuple):
+    """Travel with an answer from the guard to the ingress.
+
+    `verdict` and `reason` are empty for an answer of the backend server.
+    """
+
+    verdict: str
+    reason: str
+    retry_after: float
+    retries_spent: int
+    level: float
+    deep_level: float
+    load: float
+
+
+class NodeState(NamedTuple):
+    """Spread by gossip: one node as its peers know it.
+
+    `revision` is raised by the node itself, `incarnation` at each start.
+    """
+
+    name: str
+    incarnation: int
+    revision: int
+    status: int
+    service: str
+    zone: str
+    region: str
+    peers: str
+    control: str
+    slots: int
+
+
+class Digest(NamedTuple):
+    """Sum up what a node knows, to see whether it must be exchanged.
+
+    `confirmed_age` is in seconds since the store was known to be up.
+    """
+
+    sender: str
+    incarnation: int
+    policy_version: int
+    ledger_version: int
+    confirmed_age: float
+    members_hash: int
+
+
+class Exchange(NamedTuple):
+    """Carry a digest and the latest changes between two nodes."""
+
+    digest: Digest
+    changes: list[NodeState]
+    wants_all: bool = False
+
+
+class Document(NamedTuple):
+    """Hold an object of the store as one node passes it to another."""
+
+    version: int
+    content: bytes
+
+
+class FetchRequest(NamedTuple):
+    """Ask a peer for a document newer than a version."""
+
+    name: str
+    above: int
+
+
+class ProbeRequest(NamedTuple):
+    """Ask a guard whether a call arrived, and void it if it did not.
+
+    `age` is the time in seconds since the call was sent.
+    """
+
+    call_id: str
+    age: float
+
+
+class ProbeReply(NamedTuple):
+    """Tell whether the call had reached the guard and still runs there."""
+
+    has_arrived: bool
+    is_running: bool
+
+
+class TokenAsk(NamedTuple):
+    """Ask for tokens of one customer from one shard, or return some.
+
+    `holding` is how many earlier tokens of the shard are still unspent, and
+    `sequence` grows with each ask, so that a late one is ignored.
+    """
+
+    shard: int
+    customer: str
+    wanted: int
+    holding: int
+    returned: int
+    sequence: int
+
+
+class TokenGrant(NamedTuple):
+    """Grant tokens; `retry_after` in seconds is set if there are too few."""
+
+    shard: int
+    customer: str
+    granted: int
+    retry_after: float
+
+
+class GrantRequest(NamedTuple):
+    """Ask one node for tokens of several shards."""
+
+    sender: str
+    asks: list[TokenAsk]
+
+
+class GrantReply(NamedTuple):
+    """Answer each ask; shards not held here are left out."""
+
+    grants: list[TokenGrant]
+
+
+class Empty(NamedTuple):
+    """Carry nothing."""
+
+
+call_decoder = msgspec.json.Decoder(CallMeta)
+answer_decoder = msgspec.json.Decoder(AnswerMeta)
+json_encoder = msgspec.json.Encoder()
+
+
+def encode(message: Any) -> bytes:
+    """Return a control message in MessagePack."""
+    return msgspec.msgpack.encode(message)
+
+
+def take_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the value of the only header of a name.
+
+    >>> take_header([(b'a', b'1')], b'a')
+    b'1'
+    """
+    for header, value in headers:
+        if header == name:
+            return value
+    return None
+
+
+def clean_headers(headers: Headers, dropped: frozenset[bytes]) -> Headers:
+    """Return headers that may pass to the next hop.
+
+    >>> clean_headers([(b'te', b'x'), (b'a', b'1')], frozenset())
+    [(b'a', b'1')]
+    """
+    listed = take_header(headers, b'connection')
+    named = frozenset(
+        token.strip().lower() for token in (listed or b'').split(b',')
+    )
+    return [
+        header
+        for header in headers
+        if header[0] not in HOP_BY_HOP
+        and header[0] not in dropped
+        and header[0] not in named
+        and not header[0].startswith(PREFIX)
+    ]
--- /dev/null
+++ b/limpetshore/metrics.py
@@ -0,0 +1,130 @@
+"""Count what a process does, for Prometheus."""
+
+import itertools
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+from prometheus_client.process_collector import ProcessCollector
+
+from limpetshore.verdicts import Reason, Refusal, Verdict
+
+ROLES = ('ingress', 'guard')
+REFUSING_VERDICTS = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN)
+LATENCY_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1, 5)
+
+
+class Metrics:
+    """Hold the metrics of one process, its children looked up once."""
+
+    def __init__(self) -> None:
+        """Register every metric."""
+        registry = CollectorRegistry()
+        self.registry = registry
+        ProcessCollector(registry=registry)
+        self.refusals = Counter(
+            'limpetshore_refusals',
+            'Requests refused, by role, reason and verdict',
+            ('role', 'reason', 'verdict'),
+            registry=registry,
+        )
+        self.retries = Counter(
+            'limpetshore_retries',
+            'Attempts beyond the first, by the reason of the one before',
+            ('reason',),
+            registry=registry,
+        )
+        self.retries_withheld = Counter(
+            'limpetshore_retries_withheld',
+            'Retries not made, by what forbade them',
+            ('cause',),
+            registry=registry,
+        )
+        self.answers = Counter(
+            'limpetshore_answers',
+            'Whole answers, by role',
+            ('role',),
+            registry=registry,
+        )
+        self.latency = Histogram(
+            'limpetshore_call_seconds',
+            'Time from request to whole answer, by role',
+            ('role',),
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.bad_input = Counter(
+            'limpetshore_bad_input',
+            'Records and messages ignored, by source',
+            ('source',),
+            registry=registry,
+        )
+        self.store_calls = Counter(
+            'limpetshore_store_calls',
+            'Calls to the object API, by kind and outcome',
+            ('kind', 'outcome'),
+            registry=registry,
+        )
+        self.control_bytes = Counter(
+            'limpetshore_control_bytes',
+            'Payload bytes of control messages, by direction',
+            ('direction',),
+            registry=registry,
+        )
+        self.control_calls = Counter(
+            'limpetshore_control_calls',
+            'Control calls to other nodes, by kind and outcome',
+            ('kind', 'outcome'),
+            registry=registry,
+        )
+        self.violations = Counter(
+            'limpetshore_invariant_violations',
+            'Invariants found broken, by name; always a defect',
+            ('invariant',),
+            registry=registry,
+        )
+        self.config_version = Gauge(
+            'limpetshore_config_version',
+            'Store version of the policy in force',
+            registry=registry,
+        )
+        self.in_flight = Gauge(
+            'limpetshore_in_flight',
+            'Requests now at the local backend server',
+            registry=registry,
+        )
+        self.limit = Gauge(
+            'limpetshore_concurrency_limit',
+            'Requests allowed at the local backend server',
+            registry=registry,
+        )
+        self.waiting = Gauge(
+            'limpetshore_waiting',
+            'Requests that wait for a slot',
+            registry=registry,
+        )
+        self.members_alive = Gauge(
+            'limpetshore_members_alive',
+            'Nodes seen alive, this one included',
+            registry=registry,
+        )
+        self.refusal_children = {
+            labels: self.refusals.labels(*labels)
+            for labels in itertools.product(ROLES, Reason, REFUSING_VERDICTS)
+        }
+        self.retry_children = {
+            reason: self.retries.labels(reason.value) for reason in Reason
+        }
+
+    def count_refusal(self, role: str, refusal: Refusal) -> None:
+        """Count one refusal."""
+        labels = (role, refusal.reason, refusal.verdict)
+        self.refusal_children[labels].inc()
+
+    def expose(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/limpetshore/node.py
@@ -0,0 +1,316 @@
+"""Run one node: the process beside each backend server."""
+
+import gc
+import random
+import signal
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+from logbook import Logger
+
+from limpetshore import clock
+from limpetshore.admin import AdminApp
+from limpetshore.balancing import Balancer
+from limpetshore.callers import Callers
+from limpetshore.control import ControlClient, ControlServer
+from limpetshore.fleet import FleetState, PolicyFollower
+from limpetshore.gossip import Gossip
+from limpetshore.granting import FleetGranter
+from limpetshore.guard import Guard
+from limpetshore.httpserver import HttpServer
+from limpetshore.ingress import Ingress
+from limpetshore.members import MemberTable, Status
+from limpetshore.messages import NodeState
+from limpetshore.metrics import Metrics
+from limpetshore.peers import PeerApp
+from limpetshore.policies import PolicyIndex
+from limpetshore.purses import Purses
+from limpetshore.settings import NodeSettings, parse_address
+from limpetshore.shards import ShardKeeper
+from limpetshore.standing import Standing
+from limpetshore.store import HttpObjectStore
+from limpetshore.watching import StoreLink
+
+logger = Logger(__name__)
+
+TICK_S = 0.25
+LEAVE_POLL_S = 0.05
+GC_THRESHOLDS = (20_000, 50, 100)
+
+
+class Node(PolicyFollower):
+    """Put the parts of a node together."""
+
+    def __init__(self, settings: NodeSettings, tasks: TaskGroup) -> None:
+        """Build every part; nothing runs before `run`."""
+        self.settings = settings
+        self.tasks = tasks
+        self.metrics = Metrics()
+        self.chance = random.Random()  # noqa: S311
+        fleet = settings.fleet
+        self.standing = Standing(
+            settings.node.name,
+            fence_s=fleet.fence_s,
+            cut_off_s=fleet.cut_off_s,
+        )
+        self.guard = Guard(settings, self.metrics, self.standing)
+        self.table = MemberTable(first_state(settings))
+        self.keeper = ShardKeeper(
+            settings.node.name,
+            self.standing,
+            validity_s=fleet.grant_validity_s,
+            shards_per_customer=fleet.shards_per_customer,
+        )
+        self.fleet = FleetState(
+            self.table,
+            self.standing,
+            self.keeper,
+            self.metrics,
+        )
+        self.client = ControlClient(self.metrics)
+        self.gossip = Gossip(self.fleet, self.client, fleet, self.chance)
+        self.store = HttpObjectStore(
+            parse_address(settings.store.address),
+            settings.store.timeout_s,
+            self.metrics,
+        )
+        self.link = StoreLink(
+            self.store,
+            self.fleet,
+            self.gossip,
+            fleet,
+            settings.store.watch_s,
+            self.chance,
+        )
+        self.build_ingress()
+        self.build_servers()
+        self.fleet.followers.append(self)
+        self.members_seen = -1
+
+    def build_ingress(self) -> None:
+        """Build what serves callers."""
+        fleet = self.settings.fleet
+        self.balancer = Balancer(
+            self.table,
+            self.settings.node.zone,
+            self.settings.admission.level_half_life_s,
+            self.chance,
+        )
+        self.purses = Purses(
+            FleetGranter(self.fleet, self.client),
+            self.tasks,
+            validity_s=fleet.grant_validity_s,
+            horizon_s=fleet.grant_horizon_s,
+            wait_s=fleet.grant_wait_s,
+        )
+        self.ingress = Ingress(
+            self.settings,
+            self.metrics,
+            self.guard,
+            self.balancer,
+            Callers(
+                self.guard,
+                self.standing,
+                self.purses,
+                self.settings.call.max_depth,
+            ),
+            self.standing,
+            self.chance,
+        )
+
+    def build_servers(self) -> None:
+        """Build the servers of the four ports."""
+        listen = self.settings.listen
+        graceful_s = self.settings.call.graceful_s
+        self.callers_server = HttpServer(
+            self.ingress,
+            parse_address(listen.callers),
+            graceful_s=graceful_s,
+        )
+        self.peers_server = HttpServer(
+            PeerApp(self.guard),
+            parse_address(listen.peers),
+            graceful_s=graceful_s,
+        )
+        self.admin_server = HttpServer(
+            AdminApp(
+                self.guard,
+                self.metrics,
+                self.describe,
+                self.follow_own_state,
+            ),
+            parse_address(listen.admin),
+            graceful_s=1,
+        )
+
+    def adopt_policy(self, index: PolicyIndex) -> None:
+        """Use a newer policy from now on."""
+        self.ingress.index = index
+        self.balancer.drained = index.drained
+        self.guard.admission.weights = {
+            name: customer.weight
+            for name, customer in index.policy.customers.items()
+        }
+        self.follow_own_state()
+
+    async def run(self) -> None:
+        """Serve until told to stop, then leave without cutting a request."""
+        control = ControlServer(
+            self.gossip,
+            self.settings.listen.control,
+            self.metrics,
+        )
+        await control.start()
+        await self.start()
+        logger.info('serving', extra={'callers': self.settings.listen.callers})
+        await wait_for_stop()
+        await self.leave()
+        await control.stop()
+        await self.client.close()
+        self.tasks.cancel_scope.cancel()
+
+    async def leave(self) -> None:
+        """Send new work elsewhere, finish what runs, close the ports."""
+        logger.info('leaving')
+        self.announce_leaving()
+        await self.link.leave()
+        await anyio.sleep(self.settings.call.drain_notice_s)
+        await self.finish_calls()
+        logger.info('left')
+
+    async def start(self) -> None:
+        """Open the ports and start the loops of the node."""
+        servers = (self.admin_server, self.peers_server, self.callers_server)
+        for server in servers:
+            self.tasks.start_soon(server.run_until_stopped)
+        for server in servers:
+            await server.wait_started()
+        for loop in (
+            self.link.run,
+            self.link.run_duty,
+            self.gossip.run,
+            self.gossip.run_pushes,
+            self.purses.return_idle,
+            self.tick,
+        ):
+            self.tasks.start_soon(loop)
+        tune_collector()
+
+    def announce_leaving(self) -> None:
+        """Tell peers to send new work elsewhere."""
+        self.guard.is_leaving = True
+        self.keeper.is_leaving = True
+        self.ingress.is_leaving = True
+        self.table.update_own(Status.LEFT, self.guard.backend.slots)
+        self.fleet.spread(self.table.own_name)
+        self.gossip.push()
+
+    async def finish_calls(self) -> None:
+        """Let every open request end, nested calls before their callers."""
+        graceful_s = self.settings.call.graceful_s
+        self.peers_server.stop()
+        with anyio.move_on_after(graceful_s):
+            while self.guard.running.calls:
+                await anyio.sleep(LEAVE_POLL_S)
+        self.callers_server.stop()
+        with anyio.move_on_after(graceful_s):
+            await self.peers_server.wait_stopped()
+            await self.callers_server.wait_stopped()
+        self.admin_server.stop()
+
+    async def tick(self) -> None:
+        """Bring slowly changing state up to date, for ever."""
+        while True:
+            self.follow_own_state()
+            if self.members_seen != self.table.version:
+                self.members_seen = self.table.version
+                self.follow_members()
+            self.set_gauges()
+            await anyio.sleep(TICK_S)
+
+    def follow_own_state(self) -> None:
+        """Publish whether the local server takes work."""
+        if self.guard.is_leaving:
+            return
+        accepts = self.guard.accepts_work
+        status = Status.READY if accepts else Status.NOT_READY
+        if self.table.update_own(status, self.guard.backend.slots):
+            self.fleet.spread(self.table.own_name)
+            self.gossip.push()
+
+    def follow_members(self) -> None:
+        """Follow a change of the member table."""
+        self.fleet.follow_members()
+        service = self.settings.backend.service
+        owners = self.standing.list_owners(service)
+        if owners != self.standing.own_owners:
+            self.standing.own_owners = owners
+            self.guard.requests.owners_changed(self.standing.fence_s)
+
+    def set_gauges(self) -> None:
+        """Publish gauges that are too hot to set on every call."""
+        admission = self.guard.admission
+        self.metrics.in_flight.set(admission.in_flight)
+        self.metrics.limit.set(admission.limit.allowed)
+        self.metrics.waiting.set(admission.queue.size)
+        self.metrics.members_alive.set(self.table.count_alive())
+
+    def describe(self) -> dict[str, Any]:
+        """Return the status for operators."""
+        admission = self.guard.admission
+        return {
+            'node': self.settings.node.name,
+            'zone': self.settings.node.zone,
+            'service': self.settings.backend.service,
+            'accepts_work': self.guard.accepts_work,
+            'slots': self.guard.backend.slots,
+            'limit': admission.limit.allowed,
+            'in_flight': admission.in_flight,
+            'waiting': admission.queue.size,
+            'level': round(admission.level.read(), 3),
+            'running_by_customer': dict(admission.running),
+            **self.fleet.describe(),
+        }
+
+
+def first_state(settings: NodeSettings) -> NodeState:
+    """Return the state in which a node starts."""
+    listen = settings.listen
+    return NodeState(
+        name=settings.node.name,
+        incarnation=int(clock.wall_time()),
+        revision=0,
+        status=int(Status.NOT_READY),
+        service=settings.backend.service,
+        zone=settings.node.zone,
+        region=settings.node.region,
+        peers=listen.peers_seen_as or listen.peers,
+        control=listen.control_seen_as or listen.control,
+        slots=1,
+    )
+
+
+def tune_collector() -> None:
+    """Keep collections of long-lived objects from delaying calls."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+
+
+async def wait_for_stop() -> None:
+    """Return once the process is told to stop."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        await anext(signals)
+
+
+async def serve(settings: NodeSettings) -> None:
+    """Run a node until it is told to stop."""
+    clock.use_boot_time()
+    async with anyio.create_task_group() as tasks:
+        await Node(settings, tasks).run()
+
+
+def run(settings: NodeSettings) -> None:
+    """Run a node on the event loop of the process."""
+    anyio.run(serve, settings, backend_options={'use_uvloop': True})
--- /dev/null
+++ b/limpetshore/peers.py
@@ -0,0 +1,383 @@
+"""Carry calls between nodes: the sending and the serving half."""
+
+from typing import Any
+
+import anyio
+import msgspec
+
+from limpetshore import clock
+from limpetshore.bodies import (
+    AnswerSender,
+    CallerGoneError,
+    RequestBody,
+    send_refusal,
+)
+from limpetshore.errors import (
+    BrokenError,
+    ConnectError,
+    RefusedError,
+    TransportError,
+    TruncatedError,
+    refuse,
+)
+from limpetshore.exchanges import (
+    Answer,
+    AnswerRefusedError,
+    Exchange,
+    OutboundRequest,
+    send_request,
+)
+from limpetshore.guard import Guard, GuardExchange
+from limpetshore.httpclient import (
+    Address,
+    Headers,
+    HttpConnection,
+    HttpPool,
+    ResponseHead,
+)
+from limpetshore.messages import (
+    ANSWER_HEADER,
+    CALL_HEADER,
+    AnswerMeta,
+    CallMeta,
+    ProbeReply,
+    ProbeRequest,
+    answer_decoder,
+    call_decoder,
+    clean_headers,
+    json_encoder,
+    take_header,
+)
+from limpetshore.verdicts import Reason, Refusal, Verdict
+
+PROBE_PATH = '/limpetshore/probe'
+PROBE_TIMEOUT_S = 1
+PROBES_UNTIL_LOST = 2
+ANSWER_GRACE_S = 0.25
+MS_IN_S = 1000
+NO_CONTENT = 204
+
+
+class PeerApp:
+    """Serve calls that come from other nodes."""
+
+    def __init__(self, guard: Guard) -> None:
+        """Serve on behalf of the guard."""
+        self.guard = guard
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one call or probe."""
+        sender = AnswerSender(send, self.guard.settings.call.stall_s)
+        if scope['path'] == PROBE_PATH:
+            await self.answer_probe(scope, sender)
+            return
+        try:
+            meta = read_call_meta(scope['headers'])
+        except RefusedError as error:
+            self.guard.metrics.bad_input.labels('peer_call').inc()
+            await send_refusal(sender, error.refusal, '')
+            return
+        await self.serve(scope, receive, sender, meta)
+
+    async def serve(
+        self,
+        scope: Any,
+        receive: Any,
+        sender: AnswerSender,
+        meta: CallMeta,
+    ) -> None:
+        """Carry one call, and stop it if the other node hangs up."""
+        call = self.guard.settings.call
+        deadline = clock.now() + meta.timeout_ms / MS_IN_S
+        try:
+            body = RequestBody(
+                scope['headers'],
+                receive,
+                max_bytes=call.max_body_bytes,
+                stall_s=call.stall_s,
+            )
+            first = await body.read_first(call.replay_bytes)
+        except RefusedError as error:
+            described = self.guard.describe_answer(error.refusal)
+            wrapped = AnswerRefusedError(error.refusal, described)
+            await self.refuse(sender, wrapped, meta)
+            return
+        except CallerGoneError:
+            return
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(cancel_when_gone, body, tasks.cancel_scope)
+            request = OutboundRequest(
+                method=scope['method'].encode(),
+                target=read_target(scope),
+                headers=clean_headers(scope['headers'], DROPPED_FROM_PEERS),
+                first=first,
+                rest=None if body.is_complete else body.read_rest(),
+                length=body.length,
+                meta=meta,
+                deadline=deadline,
+                tasks=tasks,
+            )
+            await self.carry(request, sender)
+            tasks.cancel_scope.cancel()
+
+    async def carry(
+        self,
+        request: OutboundRequest,
+        sender: AnswerSender,
+    ) -> None:
+        """Have the call answered and pass the answer on as it comes."""
+        exchange = GuardExchange(self.guard)
+        try:
+            answer = await exchange.open(request)
+            meta = (ANSWER_HEADER, json_encoder.encode(answer.meta))
+            await pass_on(exchange, sender, answer, [meta])
+        except AnswerRefusedError as error:
+            await self.refuse(sender, error, request.meta)
+        except (TruncatedError, CallerGoneError):
+            # An answer left without its end makes uvicorn cut the connection.
+            return
+        finally:
+            await exchange.close()
+
+    async def refuse(
+        self,
+        sender: AnswerSender,
+        error: AnswerRefusedError,
+        meta: CallMeta,
+    ) -> None:
+        """Tell the other node why there is no answer."""
+        self.guard.metrics.count_refusal('guard', error.refusal)
+        await send_refusal(
+            sender,
+            error.refusal,
+            meta.request_id,
+            [(ANSWER_HEADER, json_encoder.encode(error.meta))],
+        )
+
+    async def answer_probe(self, scope: Any, sender: AnswerSender) -> None:
+        """Tell whether a call arrived, and void it if it did not."""
+        try:
+            request = msgspec.json.decode(
+                take_header(scope['headers'], CALL_HEADER) or b'',
+                type=ProbeRequest,
+            )
+        except msgspec.MsgspecError:
+            self.guard.metrics.bad_input.labels('probe').inc()
+            await send_refusal(sender, Refusal(Reason.BAD_REQUEST), '')
+            return
+        reply = json_encoder.encode(self.guard.probe(request))
+        await sender.start(
+            NO_CONTENT,
+            [(ANSWER_HEADER, reply)],
+        )
+        await sender.send_body(b'', is_last=True)
+
+
+DROPPED_FROM_PEERS = frozenset((b'content-length',))
+
+
+def read_call_meta(headers: Headers) -> CallMeta:
+    """Return what travels with a call, or refuse a damaged one."""
+    encoded = take_header(headers, CALL_HEADER)
+    try:
+        return call_decoder.decode(encoded or b'')
+    except msgspec.MsgspecError as error:
+        raise refuse(Reason.BAD_REQUEST, f'call header: {error}') from error
+
+
+def read_target(scope: Any) -> bytes:
+    """Return the request target as it was received."""
+    query = scope['query_string']
+    path = scope['raw_path']
+    return b'%b?%b' % (path, query) if query else path
+
+
+async def cancel_when_gone(
+    body: RequestBody,
+    scope: anyio.CancelScope,
+) -> None:
+    """Cancel the work for a caller that hangs up."""
+    await body.wait_gone()
+    scope.cancel()
+
+
+async def pass_on(
+    exchange: Exchange,
+    sender: AnswerSender,
+    answer: Answer,
+    extra: Headers,
+) -> None:
+    """Pass an answer on piece by piece."""
+    headers = clean_headers(answer.head.headers, frozenset())
+    await sender.start(answer.head.status, [*headers, *extra])
+    while chunk := await exchange.read_chunk():
+        await sender.send_body(chunk, is_last=False)
+    await sender.send_body(b'', is_last=True)
+
+
+class PeerExchange(Exchange):
+    """Carry one call to the guard of another node."""
+
+    def __init__(self, pool: HttpPool, silence_s: float, stall_s: float):
+        """Use connections of a pool to the other node."""
+        self.pool = pool
+        self.silence_s = silence_s
+        self.stall_s = stall_s
+        self.connection: HttpConnection | None = None
+        self.sent_at: float = 0
+
+    async def open(self, request: OutboundRequest) -> Answer:
+        """Send the request and wait for the answer to begin."""
+        try:
+            self.connection = await self.pool.acquire()
+        except ConnectError as error:
+            raise refuse(Reason.UNREACHABLE, str(error)) from error
+        meta = (CALL_HEADER, json_encoder.encode(request.meta))
+        self.sent_at = clock.now()
+        try:
+            await send_request(
+                self.connection,
+                request,
+                [*request.headers, meta],
+            )
+            head = await self.wait_head(request)
+        except (BrokenError, TruncatedError) as error:
+            verdict = await self.ask_verdict(request)
+            raise refuse(
+                Reason.BROKEN,
+                str(error),
+                verdict=verdict,
+            ) from error
+        answer = read_answer(head)
+        if answer.meta.verdict:
+            await self.drain()
+            raise AnswerRefusedError(read_refusal(answer.meta), answer.meta)
+        return answer
+
+    async def wait_head(self, request: OutboundRequest) -> ResponseHead:
+        """Wait for an answer, asking on a new connection when all is silent."""
+        patience = self.silence_s
+        lost_probes = 0
+        while clock.now() < request.deadline:
+            left = request.deadline - clock.now()
+            with anyio.move_on_after(min(patience, left)):
+                return await self.connection.read_head()
+            reply = await self.probe(request)
+            lost_probes = 0 if reply else lost_probes + 1
+            if lost_probes >= PROBES_UNTIL_LOST:
+                raise silent('the other node cannot be reached any more')
+            if reply and await self.is_answer_lost(reply):
+                return await self.wait_last_moment()
+            patience *= 2
+        raise refuse(
+            Reason.DEADLINE,
+            'no answer before the deadline',
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
+
+    async def is_answer_lost(self, reply: ProbeReply) -> bool:
+        """Tell whether a call has ended; raise if it did not arrive."""
+        if reply.has_arrived:
+            return not reply.is_running
+        await self.pool.retire()
+        raise silent('the call did not arrive', Verdict.NOT_RUN)
+
+    async def wait_last_moment(self) -> ResponseHead:
+        """Wait for an answer that is sent already, if it still comes."""
+        with anyio.move_on_after(ANSWER_GRACE_S):
+            return await self.connection.read_head()
+        await self.pool.retire()
+        raise silent('the answer was lost on the way')
+
+    async def ask_verdict(self, request: OutboundRequest) -> Verdict:
+        """Find out whether a call whose connection broke can have run."""
+        if request.rest is not None:
+            return Verdict.MAY_HAVE_RUN
+        reply = await self.probe(request)
+        if reply and not reply.has_arrived:
+            return Verdict.NOT_RUN
+        return Verdict.MAY_HAVE_RUN
+
+    async def probe(self, request: OutboundRequest) -> ProbeReply | None:
+        """Ask on a new connection whether the call arrived."""
+        asked = ProbeRequest(
+            request.meta.call_id,
+            clock.now() - self.sent_at + ANSWER_GRACE_S,
+        )
+        with anyio.move_on_after(PROBE_TIMEOUT_S):
+            try:
+                return await ask_probe(self.pool.address, asked)
+            except (TransportError, msgspec.MsgspecError):
+                return None
+        return None
+
+    async def drain(self) -> None:
+        """Read a refusal to its end, so that the connection is kept."""
+        with anyio.move_on_after(ANSWER_GRACE_S):
+            try:
+                await self.connection.read_all()
+            except TruncatedError:
+                return
+
+    async def read_chunk(self) -> bytes:
+        """Return the next piece of the answer, empty at its end."""
+        with anyio.move_on_after(self.stall_s):
+            return await self.connection.read_chunk()
+        raise TruncatedError('the answer stood still')
+
+    async def close(self) -> None:
+        """Keep the connection if the answer is whole, else cut it."""
+        connection = self.connection
+        self.connection = None
+        if connection:
+            with anyio.CancelScope(shield=True):
+                await self.pool.release(connection)
+
+
+def read_refusal(meta: AnswerMeta) -> Refusal:
+    """Return the refusal that an answer of a guard describes."""
+    try:
+        return Refusal(
+            Reason(meta.reason),
+            Verdict(meta.verdict),
+            meta.retry_after,
+        )
+    except ValueError:
+        return Refusal(Reason.BROKEN, Verdict.MAY_HAVE_RUN)
+
+
+def silent(
+    detail: str,
+    verdict: Verdict = Verdict.MAY_HAVE_RUN,
+) -> RefusedError:
+    """Build the refusal of a call that was met with silence."""
+    return refuse(Reason.SILENT, detail, verdict=verdict)
+
+
+def read_answer(head: ResponseHead) -> Answer:
+    """Return an answer of another node, its description taken out."""
+    encoded = take_header(head.headers, ANSWER_HEADER)
+    try:
+        meta = answer_decoder.decode(encoded or b'')
+    except msgspec.MsgspecError as error:
+        raise refuse(
+            Reason.BROKEN,
+            f'answer header: {error}',
+            verdict=Verdict.MAY_HAVE_RUN,
+        ) from error
+    return Answer(head, meta)
+
+
+async def ask_probe(address: Address, asked: ProbeRequest) -> ProbeReply:
+    """Ask another node about a call on a connection of its own."""
+    async with HttpPool(address, 0).lend() as connection:
+        await connection.send_head(
+            b'GET',
+            PROBE_PATH.encode(),
+            [(b'host', b'peer'), (CALL_HEADER, json_encoder.encode(asked))],
+        )
+        head = await connection.read_head()
+    return msgspec.json.decode(
+        take_header(head.headers, ANSWER_HEADER) or b'',
+        type=ProbeReply,
+    )
--- /dev/null
+++ b/limpetshore/policies.py
@@ -0,0 +1,242 @@
+"""Describe what operators allow: customers, routes and drained nodes."""
+
+import enum
+import functools
+import hashlib
+import hmac
+import secrets
+from typing import Annotated, Any, NamedTuple
+
+import msgspec
+
+from limpetshore.checks import Name, Seconds, build_record, check_value
+
+FORMAT = 1
+KEY_BYTES = 32
+KEY_PREFIX = 'ls_'
+INDEX_LENGTH = 16
+EVERYONE = '*'
+TICKETS_REMEMBERED = 256
+MAX_POLICY_BYTES = 900_000
+
+KeyHash = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
+Method = Annotated[str, msgspec.Meta(pattern='^[A-Z]{3,10}$')]
+Path = Annotated[str, msgspec.Meta(pattern='^/[!-~]{0,200}$')]
+
+
+class Importance(enum.IntEnum):
+    """Rank requests; the lowest are shed first."""
+
+    LOW = 0
+    NORMAL = 1
+    HIGH = 2
+    CRITICAL = 3
+
+
+ImportanceText = Annotated[
+    str,
+    msgspec.Meta(pattern='^(low|normal|high|critical)$'),
+]
+
+
+class Customer(NamedTuple):
+    """Say what one customer may send, in requests a second."""
+
+    rate: Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
+    burst: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+    weight: Annotated[float, msgspec.Meta(ge=0.01, le=100)] = 1
+    most_important: ImportanceText = 'critical'
+    key_hashes: list[KeyHash] = []
+
+
+class Route(NamedTuple):
+    """Say who may call a path and how its requests are treated."""
+
+    path: Path
+    service: Name
+    methods: list[Method] = ['GET', 'POST']
+    customers: list[str] = [EVERYONE]
+    is_open: bool = False
+    is_repeatable: bool = False
+    importance: ImportanceText = 'normal'
+    timeout_s: Seconds = 10
+    retries: Annotated[int, msgspec.Meta(ge=0, le=10)] = 2
+
+
+class AcceptedTicket(NamedTuple):
+    """Remember a ticket that was accepted."""
+
+    number: int
+    digest: str
+    operator: str
+
+
+class Policy(NamedTuple):
+    """Hold the whole configuration as of one ticket."""
+
+    number: int = 0
+    customers: dict[str, Customer] = {}
+    routes: dict[str, Route] = {}
+    drained: tuple[str, ...] = ()
+    accepted: tuple[AcceptedTicket, ...] = ()
+
+
+class KeyOwner(NamedTuple):
+    """Tie the hash of a key to its customer."""
+
+    key_hash: str
+    customer: str
+
+
+class RouteMatch(NamedTuple):
+    """Hold a route with its name and rank at hand."""
+
+    name: str
+    route: Route
+    importance: Importance
+    subtree: str
+
+
+def parse_importance(text: str) -> Importance:
+    """Return the rank of an importance.
+
+    >>> parse_importance('high') > parse_importance('low')
+    True
+    """
+    return Importance[text.upper()]
+
+
+def issue_key() -> str:
+    """Return a new secret key."""
+    return KEY_PREFIX + secrets.token_urlsafe(KEY_BYTES)
+
+
+def hash_key(key: str) -> str:
+    """Return the hash under which a policy knows a key.
+
+    A fast hash is enough, since keys are random and 256 bits long.
+    """
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class PolicyIndex:
+    """Answer the questions of the hot path about one policy."""
+
+    def __init__(self, policy: Policy, version: int) -> None:
+        """Build the look-up tables."""
+        self.policy = policy
+        self.version = version
+        self.drained = frozenset(policy.drained)
+        self.owners: dict[str, list[KeyOwner]] = {}
+        for name, customer in policy.customers.items():
+            for key_hash in customer.key_hashes:
+                self.owners.setdefault(key_hash[:INDEX_LENGTH], []).append(
+                    KeyOwner(key_hash, name),
+                )
+        self.matches = sorted(
+            (
+                RouteMatch(
+                    name,
+                    route,
+                    parse_importance(route.importance),
+                    '{0}/'.format(route.path.rstrip('/')),
+                )
+                for name, route in policy.routes.items()
+            ),
+            key=lambda match: (-len(match.route.path), match.name),
+        )
+        self.find_route = functools.lru_cache(maxsize=4096)(self.match_route)
+
+    def find_customer(self, key: str) -> str | None:
+        """Return whose key this is, comparing in constant time."""
+        key_hash = hash_key(key)
+        found = None
+        for owner in self.owners.get(key_hash[:INDEX_LENGTH], ()):
+            if hmac.compare_digest(owner.key_hash, key_hash):
+                found = owner.customer
+        return found
+
+    def match_route(self, method: str, path: str) -> RouteMatch | None:
+        """Return the route with the longest path that matches."""
+        for match in self.matches:
+            is_below = path.startswith(match.subtree)
+            is_below = is_below or path == match.route.path
+            if is_below and method in match.route.methods:
+                return match
+        return None
+
+    def is_allowed(self, match: RouteMatch, customer: str) -> bool:
+        """Tell whether a customer may use a route."""
+        allowed = match.route.customers
+        return EVERYONE in allowed or customer in allowed
+
+    def cap_importance(self, customer: str, wanted: Importance) -> Importance:
+        """Return the importance a customer may claim."""
+        record = self.policy.customers.get(customer)
+        if record is None:
+            return wanted
+        return min(wanted, parse_importance(record.most_important))
+
+
+def encode_policy(policy: Policy) -> bytes:
+    """Return the policy as it is kept in the store."""
+    return msgspec.json.encode(
+        {
+            'format': FORMAT,
+            'number': policy.number,
+            'customers': {
+                name: record._asdict()
+                for name, record in policy.customers.items()
+            },
+            'routes': {
+                name: record._asdict() for name, record in policy.routes.items()
+            },
+            'drained': policy.drained,
+            'accepted': [ticket._asdict() for ticket in policy.accepted],
+        }
+    )
+
+
+def decode_policy(encoded: bytes) -> Policy:
+    """Return the policy kept in the store; raise ValueError if damaged."""
+    tables = msgspec.json.decode(encoded)
+    if not isinstance(tables, dict) or tables.get('format') != FORMAT:
+        raise ValueError(f'policy is not of format {FORMAT}')
+    mistakes: list[str] = []
+    policy = Policy(
+        number=check_value(tables.get('number'), int, 'number', mistakes),
+        customers=build_records(Customer, tables, 'customers', mistakes),
+        routes=build_records(Route, tables, 'routes', mistakes),
+        drained=check_value(
+            tables.get('drained', []),
+            tuple[str, ...],
+            'drained',
+            mistakes,
+        ),
+        accepted=tuple(
+            build_record(AcceptedTicket, ticket, 'accepted', mistakes)
+            for ticket in tables.get('accepted', [])
+        ),
+    )
+    if mistakes:
+        raise ValueError('; '.join(mistakes))
+    return policy
+
+
+def build_records(
+    record_class: Any,
+    tables: dict[str, Any],
+    section: str,
+    mistakes: list[str],
+) -> dict[str, Any]:
+    """Build every named record of a section, noting the mistakes."""
+    named = tables.get(section, {})
+    if not isinstance(named, dict):
+        mistakes.append(f'{section}: got {named!r}; a table is needed')
+        return {}
+    for name in named:
+        check_value(name, Name, f'{section}.{name}', mistakes)
+    return {
+        name: build_record(record_class, table, f'{section}.{name}', mistakes)
+        for name, table in named.items()
+    }
--- /dev/null
+++ b/limpetshore/purses.py
@@ -0,0 +1,258 @@
+"""Spend tokens of customers, fetched ahead from the nodes that grant them."""
+
+import math
+from abc import ABC, abstractmethod
+from collections import deque
+
+import anyio
+from anyio.abc import TaskGroup
+
+from limpetshore import clock
+from limpetshore.errors import refuse
+from limpetshore.messages import TokenAsk, TokenGrant
+from limpetshore.verdicts import Reason
+
+DEMAND_WINDOW_S = 0.5
+IDLE_RETURN_S = 0.4
+MAX_WANTED = 100_000
+SPENT_REMEMBERED = 4096
+
+
+class Granter(ABC):
+    """Ask whichever node holds a shard."""
+
+    @abstractmethod
+    def find_shards(self, customer: str) -> list[int]:
+        """Return the shards of a customer, the preferred first."""
+
+    @abstractmethod
+    async def ask(self, ask: TokenAsk) -> TokenGrant | None:
+        """Return what was granted, or None if no holder answered."""
+
+
+class Batch:
+    """Hold tokens of one shard until they lapse or are spent."""
+
+    def __init__(self, shard: int, count: int, lapses_at: float) -> None:
+        """Set the tokens and the time they lapse on the local clock."""
+        self.shard = shard
+        self.count = count
+        self.lapses_at = lapses_at
+
+
+class Purse:
+    """Hold the tokens of one customer at this node."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.batches: dict[int, Batch] = {}
+        self.spent_at: deque[float] = deque(maxlen=SPENT_REMEMBERED)
+        self.waiting = 0
+        self.is_filling = False
+        self.refilled = anyio.Event()
+        self.retry_after: float | None = None
+        self.dry_until: float = 0
+
+    def count(self) -> int:
+        """Return the tokens that may be spent now."""
+        now = clock.now()
+        return sum(
+            batch.count
+            for batch in self.batches.values()
+            if batch.lapses_at > now
+        )
+
+    def held(self, shard: int) -> int:
+        """Return the unspent tokens of one shard."""
+        batch = self.batches.get(shard)
+        if batch is None or batch.lapses_at <= clock.now():
+            return 0
+        return batch.count
+
+    def take(self) -> bool:
+        """Spend a token that has not lapsed, the one that lapses first."""
+        now = clock.now()
+        usable = [
+            batch
+            for batch in self.batches.values()
+            if batch.count and batch.lapses_at > now
+        ]
+        if not usable:
+            return False
+        soonest = min(usable, key=lambda batch: batch.lapses_at)
+        soonest.count -= 1
+        self.spent_at.append(now)
+        return True
+
+    def put(self, shard: int, count: int, lapses_at: float) -> None:
+        """Add tokens; old ones of the same shard keep their earlier lapse."""
+        left = self.held(shard)
+        batch = self.batches.get(shard)
+        if left and batch:
+            lapses_at = min(lapses_at, batch.lapses_at)
+        self.batches[shard] = Batch(shard, left + count, lapses_at)
+
+    def demand(self) -> float:
+        """Return the tokens spent a second of late."""
+        now = clock.now()
+        while self.spent_at and self.spent_at[0] < now - DEMAND_WINDOW_S:
+            self.spent_at.popleft()
+        return len(self.spent_at) / DEMAND_WINDOW_S
+
+
+class Purses:
+    """Spend a token for each request, for all customers of this node."""
+
+    def __init__(
+        self,
+        granter: Granter,
+        tasks: TaskGroup,
+        *,
+        validity_s: float,
+        horizon_s: float,
+        wait_s: float,
+    ) -> None:
+        """Start empty; fetches run in the task group of the node."""
+        self.granter = granter
+        self.tasks = tasks
+        self.validity_s = validity_s
+        self.horizon_s = horizon_s
+        self.wait_s = wait_s
+        self.purses: dict[str, Purse] = {}
+        self.sequence = 0
+
+    def next_sequence(self) -> int:
+        """Return a number above all that were used before."""
+        self.sequence += 1
+        return self.sequence
+
+    async def spend(self, customer: str) -> None:
+        """Spend a token, or raise that the customer is over its rate."""
+        purse = self.purses.get(customer)
+        if purse is None:
+            purse = Purse()
+            self.purses[customer] = purse
+        if not purse.take():
+            await self.wait_for_token(customer, purse)
+        if purse.count() < self.find_low_mark(purse):
+            self.start_filling(customer, purse)
+
+    def find_low_mark(self, purse: Purse) -> float:
+        """Return below how many tokens more are fetched."""
+        return purse.demand() * self.horizon_s / 2
+
+    async def wait_for_token(self, customer: str, purse: Purse) -> None:
+        """Wait a short while for tokens that are being fetched."""
+        if clock.now() < purse.dry_until:
+            raise self.refuse_rate(purse)
+        purse.waiting += 1
+        try:
+            with anyio.move_on_after(self.wait_s):
+                await self.try_to_take(customer, purse)
+                return
+        finally:
+            purse.waiting -= 1
+        raise self.refuse_rate(purse)
+
+    async def try_to_take(self, customer: str, purse: Purse) -> None:
+        """Fetch until there is a token or every shard has said no."""
+        while not purse.take():
+            self.start_filling(customer, purse)
+            await purse.refilled.wait()
+            if not purse.count() and clock.now() < purse.dry_until:
+                raise self.refuse_rate(purse)
+
+    def refuse_rate(self, purse: Purse) -> Exception:
+        """Build the refusal: over the rate, or nobody could tell."""
+        if purse.retry_after is None:
+            return refuse(
+                Reason.RATE_UNKNOWN,
+                'no node that holds the budget answered',
+                retry_after=1,
+            )
+        return refuse(
+            Reason.RATE,
+            'over the rate and burst of the customer',
+            retry_after=purse.retry_after,
+        )
+
+    def start_filling(self, customer: str, purse: Purse) -> None:
+        """Fetch tokens unless a fetch is under way."""
+        if purse.is_filling or clock.now() < purse.dry_until:
+            return
+        purse.is_filling = True
+        self.tasks.start_soon(self.fill, customer, purse)
+
+    async def fill(self, customer: str, purse: Purse) -> None:
+        """Ask the shards in turn until there are enough tokens."""
+        try:
+            await self.ask_shards(customer, purse)
+        finally:
+            purse.is_filling = False
+            self.wake(purse)
+
+    async def ask_shards(self, customer: str, purse: Purse) -> None:
+        """Ask until enough is granted; note when all shards are dry."""
+        waits: list[float] = []
+        for shard in self.granter.find_shards(customer):
+            missing = self.find_wanted(purse)
+            if missing < 1:
+                break
+            sent_at = clock.now()
+            ask = TokenAsk(
+                shard,
+                customer,
+                missing,
+                purse.held(shard),
+                0,
+                self.next_sequence(),
+            )
+            grant = await self.granter.ask(ask)
+            if grant is None:
+                continue
+            if grant.granted:
+                lapses_at = sent_at + self.validity_s
+                purse.put(shard, grant.granted, lapses_at)
+                self.wake(purse)
+            else:
+                waits.append(grant.retry_after)
+        purse.retry_after = min(waits, default=None)
+        if not purse.count() and waits:
+            purse.dry_until = clock.now() + min(*waits, self.horizon_s)
+
+    def wake(self, purse: Purse) -> None:
+        """Let waiting requests take what has come."""
+        refilled = purse.refilled
+        purse.refilled = anyio.Event()
+        refilled.set()
+
+    def find_wanted(self, purse: Purse) -> int:
+        """Return how many tokens are missing for the near future."""
+        wanted = math.ceil(purse.demand() * self.horizon_s) + purse.waiting
+        return min(MAX_WANTED, max(1, wanted) - purse.count())
+
+    async def return_idle(self) -> None:
+        """Give tokens back that were not needed, for ever."""
+        while True:
+            await anyio.sleep(IDLE_RETURN_S)
+            for customer, purse in list(self.purses.items()):
+                is_idle = not purse.demand() and not purse.waiting
+                if is_idle and not purse.is_filling:
+                    await self.return_tokens(customer, purse)
+
+    async def return_tokens(self, customer: str, purse: Purse) -> None:
+        """Give back every token of an idle purse, subtracting first."""
+        batches = purse.batches
+        purse.batches = {}
+        for batch in batches.values():
+            if batch.count and batch.lapses_at > clock.now():
+                await self.granter.ask(
+                    TokenAsk(
+                        batch.shard,
+                        customer,
+                        0,
+                        0,
+                        batch.count,
+                        self.next_sequence(),
+                    ),
+                )
--- /dev/null
+++ b/limpetshore/watching.py
@@ -0,0 +1,242 @@
+"""Follow the store, write what this node owes it, and mend the ledger."""
+
+import random
+
+import anyio
+import msgspec
+from logbook import Logger
+
+from limpetshore import clock
+from limpetshore.errors import (
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
+from limpetshore.fleet import CURRENT, LEDGER, NODES, POLICY, FleetState
+from limpetshore.gossip import Gossip
+from limpetshore.ledger import encode_ledger, leave_ledger, plan_ledger
+from limpetshore.members import ALIVE, Status, rank_names
+from limpetshore.messages import Document, NodeState
+from limpetshore.settings import FleetSection
+from limpetshore.store import MUST_NOT_EXIST, ObjectStore, StoredObject
+
+logger = Logger(__name__)
+
+RETRY_S = 1.0
+JITTER = 0.5
+STALE_S = 10
+DUTY_PERIOD_S = 1.0
+DUTY_STAGGER_S = 3.0
+FORGET_DEAD_S = 600
+LEAVE_TIMEOUT_S = 2.0
+
+
+class StoreLink:
+    """Stand between this node and the store."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        fleet: FleetState,
+        gossip: Gossip,
+        settings: FleetSection,
+        watch_s: float,
+        chance: random.Random,
+    ) -> None:
+        """Start with nothing read."""
+        self.store = store
+        self.fleet = fleet
+        self.gossip = gossip
+        self.settings = settings
+        self.watch_s = watch_s
+        self.chance = chance
+        self.revision: int | None = None
+        self.plan_wanted_since: float | None = None
+
+    async def run(self) -> None:
+        """Join, then watch while it is this node's turn, for ever."""
+        await self.read_all()
+        while True:
+            try:
+                await self.follow()
+            except StoreError as error:
+                logger.warning('store: {0}', error)
+                self.revision = None
+                await self.pause()
+
+    async def pause(self) -> None:
+        """Wait before the next call after a failure."""
+        jitter = self.chance.uniform(1 - JITTER, 1 + JITTER)
+        await anyio.sleep(RETRY_S * jitter)
+
+    async def read_all(self) -> None:
+        """Read once at the start; peers help when the store is down."""
+        try:
+            await self.catch_up()
+        except StoreError as error:
+            logger.warning('store at start: {0}', error)
+
+    async def follow(self) -> None:
+        """Watch once, or look whether watching is this node's turn."""
+        if self.fleet.table.is_joining:
+            await self.join()
+        is_stale = self.fleet.standing.store_age > STALE_S
+        if not self.is_watcher() and not is_stale:
+            self.revision = None
+            await self.pause()
+            return
+        if self.revision is None:
+            await self.catch_up()
+        changes = await self.store.watch(self.revision, self.watch_s)
+        for changed in changes.changed:
+            self.take(changed)
+        self.revision = changes.revision
+        self.fleet.standing.confirm_store()
+
+    async def catch_up(self) -> None:
+        """Read everything anew."""
+        for kind in (POLICY, LEDGER, NODES):
+            changes = await self.store.read_kind(kind)
+            for stored in changes.changed:
+                self.take(stored)
+            if self.revision is None:
+                self.revision = changes.revision
+        self.fleet.standing.confirm_store()
+
+    def take(self, stored: StoredObject) -> None:
+        """Take in one object of the store."""
+        if stored.kind == NODES:
+            self.take_node(stored)
+        elif stored.kind in {POLICY, LEDGER} and stored.content:
+            document = Document(stored.version, stored.content)
+            self.gossip.adopt(stored.kind, document)
+
+    def take_node(self, stored: StoredObject) -> None:
+        """Take in the record of a node."""
+        if stored.content is None:
+            self.fleet.table.mark(stored.name, Status.LEFT)
+            return
+        try:
+            state = msgspec.json.decode(stored.content, type=NodeState)
+        except msgspec.MsgspecError as error:
+            self.fleet.metrics.bad_input.labels(NODES).inc()
+            logger.error('ignored node {0}: {1}', stored.name, error)
+            return
+        self.fleet.merge(state)
+
+    async def join(self) -> None:
+        """Record this node with an incarnation above all earlier ones."""
+        table = self.fleet.table
+        name = table.own_name
+        stored = await self.store.get(NODES, name)
+        if stored is not None:
+            self.take_node(stored)
+        expected = stored.version if stored else MUST_NOT_EXIST
+        content = msgspec.json.encode(table.own)
+        await self.store.put(NODES, name, content, expected)
+        table.is_joining = False
+        self.fleet.keeper.incarnation = table.own.incarnation
+        logger.info('joined', extra={'incarnation': table.own.incarnation})
+
+    def is_watcher(self) -> bool:
+        """Tell whether this node is among those that watch for its zone."""
+        table = self.fleet.table
+        near = [
+            state.name
+            for state in table.states()
+            if state.zone == table.own.zone and state.status in ALIVE
+        ]
+        chosen = rank_names('watch', near)[: self.settings.watchers_per_zone]
+        return table.own_name in chosen
+
+    async def run_duty(self) -> None:
+        """Mend the ledger whenever it is due, for ever."""
+        while True:
+            await anyio.sleep(DUTY_PERIOD_S)
+            try:
+                await self.mend_ledger()
+            except StoreError as error:
+                logger.info('ledger not written: {0}', error)
+                await self.reread_ledger()
+
+    async def mend_ledger(self) -> None:
+        """Replace holders that are gone, after those whose turn is earlier."""
+        standing = self.fleet.standing
+        is_current = standing.store_age <= self.settings.fence_s
+        if not is_current or not self.is_watcher():
+            return
+        if not self.fleet.table.sees_majority():
+            return
+        current = self.fleet.keeper.ledger
+        planned = plan_ledger(
+            current.ledger,
+            self.fleet.table,
+            self.settings.takeover_s,
+        )
+        if planned == current.ledger:
+            self.plan_wanted_since = None
+            await self.forget_dead()
+            return
+        if self.plan_wanted_since is None:
+            self.plan_wanted_since = clock.now()
+        waited_s = clock.now() - self.plan_wanted_since
+        if waited_s < self.duty_turn() * DUTY_STAGGER_S:
+            return
+        await self.write_ledger(encode_ledger(planned), current.version)
+
+    async def write_ledger(self, content: bytes, expected: int) -> None:
+        """Write the ledger and put it in force here."""
+        version = await self.store.put(LEDGER, CURRENT, content, expected)
+        self.gossip.adopt(LEDGER, Document(version, content))
+        self.plan_wanted_since = None
+        logger.info('ledger written', extra={'version': version})
+
+    def duty_turn(self) -> int:
+        """Return this node's place in the order of who mends first."""
+        table = self.fleet.table
+        able = [state.name for state in table.states() if state.status in ALIVE]
+        return rank_names('duty', able).index(table.own_name)
+
+    async def reread_ledger(self) -> None:
+        """Read the ledger after a write that failed or got no answer."""
+        try:
+            stored = await self.store.get(LEDGER, CURRENT)
+        except StoreError:
+            return
+        if stored:
+            self.take(stored)
+
+    async def forget_dead(self) -> None:
+        """Remove the record of a node that has been dead for long."""
+        if self.duty_turn():
+            return
+        table = self.fleet.table
+        for state in table.states():
+            since = table.find_since(state.name, Status.DEAD)
+            if since is not None and clock.now() - since > FORGET_DEAD_S:
+                await self.remove(state.name)
+
+    async def remove(self, name: str) -> None:
+        """Delete the record of a node and say that it has left."""
+        stored = await self.store.get(NODES, name)
+        if stored is not None:
+            await self.store.delete(NODES, name, stored.version)
+        if self.fleet.table.mark(name, Status.LEFT):
+            self.fleet.spread(name)
+
+    async def leave(self) -> None:
+        """Give up the shards and the record of this node, if possible."""
+        with anyio.move_on_after(LEAVE_TIMEOUT_S):
+            try:
+                await self.give_up()
+            except (StoreConflictError, StoreUnavailableError) as error:
+                logger.warning('left without telling the store: {0}', error)
+
+    async def give_up(self) -> None:
+        """Write what a leaving node owes the store."""
+        name = self.fleet.table.own_name
+        current = self.fleet.keeper.ledger
+        without = leave_ledger(current.ledger, name)
+        if without != current.ledger:
+            await self.write_ledger(encode_ledger(without), current.version)
+        await self.remove(name)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for what surrounds limpetshore, in demo, tests and benches."""
--- /dev/null
+++ b/standins/load_sender.py
@@ -0,0 +1,141 @@
+"""Send calls with open-loop Poisson arrivals and judge every answer."""
+
+import json
+import random
+import time
+
+import anyio
+
+from limpetshore.errors import ConnectError, TransportError
+from limpetshore.httpclient import HttpPool
+from limpetshore.settings import parse_address
+
+
+class Tally:
+    """Count what came of the calls of one plan."""
+
+    def __init__(self):
+        """Start at zero."""
+        self.sent = 0
+        self.whole = 0
+        self.wrong = 0
+        self.broken = 0
+        self.refused = {}
+        self.latencies_ms = []
+        self.not_run_ids = []
+        self.whole_ids = []
+
+    def report(self):
+        """Return the figures."""
+        ordered = sorted(self.latencies_ms)
+
+        def at(share):
+            if not ordered:
+                return None
+            return round(
+                ordered[min(len(ordered) - 1, int(len(ordered) * share))], 3
+            )
+
+        return {
+            'sent': self.sent,
+            'whole': self.whole,
+            'wrong': self.wrong,
+            'broken': self.broken,
+            'refused': self.refused,
+            'p50_ms': at(0.5),
+            'p90_ms': at(0.9),
+            'p99_ms': at(0.99),
+            'p999_ms': at(0.999),
+            'max_ms': at(1),
+        }
+
+
+async def send_load(plan):
+    """Send calls as a plan says and return the report.
+
+    The plan: `targets` (addresses), `rate`, `seconds`, `seed`, `path`,
+    `headers`, `size`, `timeout_s`, `ids` (send a request id with each call).
+    """
+    chance = random.Random(plan.get('seed', 1))
+    pools = [HttpPool(parse_address(target), 20) for target in plan['targets']]
+    tally = Tally()
+    end = time.monotonic() + plan['seconds']
+    due = time.monotonic()
+    async with anyio.create_task_group() as tasks:
+        while True:
+            due += chance.expovariate(plan['rate'])
+            if due > end:
+                break
+            await anyio.sleep(max(0, due - time.monotonic()))
+            tally.sent += 1
+            tasks.start_soon(
+                send_one,
+                chance.choice(pools),
+                plan,
+                tally,
+                due,
+            )
+    report = tally.report()
+    if plan.get('keep_ids'):
+        report['not_run_ids'] = tally.not_run_ids
+        report['whole_ids'] = tally.whole_ids
+    return report
+
+
+async def send_one(pool, plan, tally, due):
+    """Send one call and judge its answer; latency counts from its due time."""
+    number = tally.sent
+    echo = f'{plan.get("seed", 1)}-{number}-{random.getrandbits(40):x}'
+    request_id = f'{int(time.time() * 1000)}-{echo.replace("-", "x"):0>12}'
+    headers = [(b'host', b'limpetshore'), (b'x-echo', echo.encode())]
+    for name, value in plan.get('headers', {}).items():
+        headers.append((name.encode(), value.encode()))
+    if plan.get('size'):
+        headers.append((b'x-size', str(plan['size']).encode()))
+    if plan.get('ids'):
+        headers.append((b'x-request-id', request_id.encode()))
+    body = b'b' * plan.get('body', 0)
+    headers.append((b'content-length', str(len(body)).encode()))
+    connection = None
+    try:
+        with anyio.fail_after(plan.get('timeout_s', 10)):
+            connection = await pool.acquire()
+            await connection.send_head(
+                b'POST',
+                plan['path'].encode(),
+                headers,
+                body,
+            )
+            head = await connection.read_head()
+            content = await connection.read_all()
+    except (ConnectError, TransportError, TimeoutError) as error:
+        tally.broken += 1
+        kind = type(error).__name__
+        tally.refused[kind] = tally.refused.get(kind, 0) + 1
+        return
+    finally:
+        if connection:
+            with anyio.CancelScope(shield=True):
+                await pool.release(connection)
+    judge(head, content, echo, request_id, tally, plan)
+    tally.latencies_ms.append((time.monotonic() - due) * 1000)
+
+
+def judge(head, content, echo, request_id, tally, plan):
+    """Count an answer as whole, wrong or refused."""
+    if head.status != 200:
+        answer = dict(head.headers)
+        reason = answer.get(b'x-limpetshore-reason', b'none').decode()
+        verdict = answer.get(b'x-limpetshore-verdict', b'none').decode()
+        kind = f'{head.status} {reason} {verdict}'
+        tally.refused[kind] = tally.refused.get(kind, 0) + 1
+        if verdict == 'not-run':
+            tally.not_run_ids.append(request_id)
+        return
+    size = plan.get('size', 0)
+    own = json.loads(content.rstrip(b'.'))
+    if own['id'] != echo or len(content) < size:
+        tally.wrong += 1
+        return
+    tally.whole += 1
+    tally.whole_ids.append(request_id)
--- /dev/null
+++ b/standins/local_fleet.py
@@ -0,0 +1,324 @@
+"""Start nodes and stand-ins as processes on loopback addresses."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+from pathlib import Path
+
+CALLERS, PEERS, CONTROL, ADMIN, BACKEND, STORE = range(7000, 7006)
+DIRECT, PROXIED = 0, 1
+STORE_HOST, PROXY_HOST = 250, 251
+STARTED_S = 15
+
+
+class LocalFleet:
+    """Run a store, nodes with backend servers, and maybe a proxy between."""
+
+    def __init__(self, layout, *, settings=None, use_proxy=False, net=None):
+        """Take a layout: a list of tables with name, service, zone, ..."""
+        self.layout = layout
+        self.settings = settings or {}
+        self.use_proxy = use_proxy
+        self.net = net or 20 + os.getpid() % 200
+        self.folder = Path(tempfile.mkdtemp(prefix='limpetshore-'))
+        self.processes = {}
+        self.proxy_control = f'127.{self.net}.0.{PROXY_HOST}:7009'
+        self.store = self.address(STORE_HOST, STORE)
+
+    def address(self, host, port, side=None):
+        """Return an address, through the proxy if there is one."""
+        if side is None:
+            side = PROXIED if self.use_proxy else DIRECT
+        return f'127.{self.net}.{side}.{host}:{port}'
+
+    def host(self, name):
+        """Return the host number of a node."""
+        return 10 + [row['name'] for row in self.layout].index(name)
+
+    def callers(self, name):
+        """Return the address for callers of a node."""
+        return self.address(self.host(name), CALLERS, DIRECT)
+
+    def admin(self, name):
+        """Return the admin address of a node."""
+        return self.address(self.host(name), ADMIN, DIRECT)
+
+    def spawn(self, key, *command):
+        """Start a process whose log goes to a file."""
+        log = (self.folder / f'{key}.log').open('ab')
+        self.processes[key] = subprocess.Popen(
+            [sys.executable, '-m', *command],
+            stdout=log,
+            stderr=log,
+            cwd=Path(__file__).parent.parent,
+        )
+        return self.processes[key]
+
+    def start(self):
+        """Start everything and wait until all nodes know each other."""
+        self.start_store()
+        if self.use_proxy:
+            self.start_proxy()
+        for row in self.layout:
+            self.start_node(row['name'])
+            self.start_backend(row['name'])
+        self.wait_ready()
+
+    def start_store(self):
+        """Start the object API."""
+        address = self.address(STORE_HOST, STORE, DIRECT)
+        self.spawn('store', 'standins', 'store', '--address', address)
+        wait_until(lambda: get_json(f'http://{address}/counts'), 'store')
+
+    def start_proxy(self):
+        """Start the proxy for every address that nodes use."""
+        routes = [
+            (STORE_HOST, STORE),
+            *(
+                (self.host(row['name']), port)
+                for row in self.layout
+                for port in (PEERS, CONTROL, BACKEND)
+            ),
+        ]
+        options = [
+            f'--route={self.address(*route, PROXIED)}'
+            f'={self.address(*route, DIRECT)}'
+            for route in routes
+        ]
+        self.spawn(
+            'proxy',
+            'standins',
+            'proxy',
+            '--control',
+            self.proxy_control,
+            *options,
+        )
+        host, port = self.proxy_control.split(':')
+        wait_until(lambda: can_connect(host, int(port)), 'proxy')
+
+    def start_node(self, name):
+        """Start a node."""
+        row = next(row for row in self.layout if row['name'] == name)
+        host = self.host(name)
+        seeds = [
+            self.address(self.host(other['name']), CONTROL)
+            for other in self.layout
+            if other['name'] != name
+        ][:3]
+        tables = {
+            'node': {'name': name, 'zone': row['zone']},
+            'listen': {
+                'callers': self.address(host, CALLERS, DIRECT),
+                'peers': self.address(host, PEERS, DIRECT),
+                'control': self.address(host, CONTROL, DIRECT),
+                'admin': self.address(host, ADMIN, DIRECT),
+                'peers_seen_as': self.address(host, PEERS),
+                'control_seen_as': self.address(host, CONTROL),
+            },
+            'backend': {
+                'service': row['service'],
+                'address': self.address(host, BACKEND),
+                'calls_from': '127.0.0.1',
+            },
+            'store': {'address': self.store},
+            'fleet': {'seeds': seeds},
+        }
+        for section, values in self.settings.items():
+            tables.setdefault(section, {}).update(values)
+        path = self.folder / f'{name}.toml'
+        path.write_text(to_toml(tables))
+        self.spawn(name, 'limpetshore', 'node', str(path))
+
+    def start_backend(self, name):
+        """Start the backend server beside a node."""
+        row = next(row for row in self.layout if row['name'] == name)
+        host = self.host(name)
+        self.spawn(
+            f'{name}-server',
+            'standins',
+            'backend',
+            '--name',
+            name,
+            '--address',
+            self.address(host, BACKEND, DIRECT),
+            '--node',
+            self.callers(name),
+            '--admin',
+            self.admin(name),
+            '--slots',
+            str(row.get('slots', 20)),
+            '--announced-slots',
+            str(row.get('announced_slots', 0)),
+            '--service-ms',
+            str(row.get('service_ms', 1)),
+        )
+
+    def wait_ready(self, names=None, ticket=False):
+        """Wait until every node sees every other one ready."""
+        names = names or [row['name'] for row in self.layout]
+        for name in names:
+            wait_until(lambda: self.sees_all(name, names, ticket), name)
+
+    def sees_all(self, name, names, ticket):
+        """Tell whether a node sees the named nodes ready."""
+        status = self.status(name)
+        ready = {
+            member['name']
+            for member in status['members']
+            if member['status'] == 'ready'
+        }
+        has_ticket = status['ticket'] is not None or not ticket
+        return ready >= set(names) and status['ledger_version'] and has_ticket
+
+    def status(self, name):
+        """Return the status of a node."""
+        return get_json(f'http://{self.admin(name)}/status')
+
+    def metrics(self, name):
+        """Return the metrics of a node as a table."""
+        text = get_text(f'http://{self.admin(name)}/metrics')
+        lines = [line for line in text.splitlines() if line[:1] != '#']
+        return {
+            line.rpartition(' ')[0]: float(line.rpartition(' ')[2])
+            for line in lines
+        }
+
+    def counts(self, name):
+        """Return what really ran at the backend server of a node."""
+        address = self.address(self.host(name), BACKEND, DIRECT)
+        return get_json(f'http://{address}/stand-in/counts')
+
+    def slow_down(self, name, factor):
+        """Slow the backend server of a node by a factor."""
+        address = self.address(self.host(name), BACKEND, DIRECT)
+        get_text(f'http://{address}/stand-in/slowdown/{factor}')
+
+    def set_store(self, fault):
+        """Set the fault of the store."""
+        address = self.address(STORE_HOST, STORE, DIRECT)
+        get_json(f'http://{address}/fault/{fault}')
+
+    def store_counts(self):
+        """Return the calls the store has counted."""
+        address = self.address(STORE_HOST, STORE, DIRECT)
+        return get_json(f'http://{address}/counts')
+
+    def set_fault(self, mode, name=None, port=None, **more):
+        """Set a fault of the proxy for one address, or for all."""
+        import socket
+
+        command = {'mode': mode, **more}
+        if name is not None:
+            host = STORE_HOST if name == 'store' else self.host(name)
+            command['route'] = self.address(host, port, PROXIED)
+        host, port = self.proxy_control.split(':')
+        with socket.create_connection((host, int(port))) as connection:
+            connection.sendall(json.dumps(command).encode() + b'\n')
+            connection.recv(8)
+
+    def command(self, *arguments):
+        """Run the command line of the product."""
+        return subprocess.run(
+            [sys.executable, '-m', 'limpetshore', *arguments],
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=60,
+            cwd=Path(__file__).parent.parent,
+        )
+
+    def apply(self, ticket):
+        """Apply a ticket given as tables, past the proxy."""
+        path = self.folder / f'ticket-{ticket["number"]}-{time.time_ns()}.toml'
+        path.write_text(to_toml(ticket))
+        address = self.address(STORE_HOST, STORE, DIRECT)
+        return self.command('apply', str(path), '--store', address)
+
+    def signal(self, key, number):
+        """Send a signal to a process."""
+        self.processes[key].send_signal(number)
+
+    def kill(self, key):
+        """Kill a process at once."""
+        self.processes[key].kill()
+        self.processes[key].wait()
+
+    def terminate(self, key, timeout_s=40):
+        """Ask a process to leave and return its exit code."""
+        self.processes[key].terminate()
+        return self.processes[key].wait(timeout_s)
+
+    def stop(self):
+        """End every process this fleet started."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    def __enter__(self):
+        """Start the fleet."""
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *exc_info):
+        """Stop the fleet."""
+        self.stop()
+
+
+def to_toml(tables, prefix=''):
+    """Write tables as TOML."""
+    lines = []
+    nested = []
+    for name, value in tables.items():
+        if isinstance(value, dict):
+            nested.append((f'{prefix}{name}', value))
+        else:
+            lines.append(f'{name} = {json.dumps(value)}')
+    text = '\n'.join(lines) + '\n'
+    for name, table in nested:
+        text += f'[{name}]\n' + to_toml(table, f'{name}.')
+    return text
+
+
+def get_text(url):
+    """Return the body of an answer."""
+    with urllib.request.urlopen(url, timeout=5) as response:
+        return response.read().decode()
+
+
+def get_json(url):
+    """Return the JSON of an answer."""
+    return json.loads(get_text(url))
+
+
+def can_connect(host, port):
+    """Tell whether a port is open."""
+    import socket
+
+    with socket.create_connection((host, port), timeout=1):
+        return True
+
+
+def wait_until(check, what, timeout_s=STARTED_S):
+    """Wait until a check holds; connection failures count as not yet."""
+    end = time.monotonic() + timeout_s
+    error = None
+    while time.monotonic() < end:
+        try:
+            if check():
+                return
+        except (OSError, ValueError) as caught:
+            error = caught
+        time.sleep(0.05)
+    raise TimeoutError(f'{what}: not within {timeout_s} s ({error})')
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,77 @@
+"""Build test data."""
+
+from limpetshore.policies import Customer, Policy, Route, hash_key
+from limpetshore.tickets import Ticket
+
+KEY = 'ls_test-key'
+LAYOUT = [
+    {'name': 'stock-1', 'service': 'stock', 'zone': 'zone-a'},
+    {'name': 'stock-2', 'service': 'stock', 'zone': 'zone-b'},
+    {'name': 'yard-1', 'service': 'yard', 'zone': 'zone-a'},
+    {'name': 'yard-2', 'service': 'yard', 'zone': 'zone-b'},
+]
+QUICK_FLEET = {'fleet': {'fence_s': 2, 'takeover_s': 6, 'clock_skew_s': 0.5}}
+
+
+def build_customer(**changes):
+    """Return a customer whose key is KEY."""
+    customer = Customer(rate=100, burst=50, key_hashes=[hash_key(KEY)])
+    return customer._replace(**changes)
+
+
+def build_route(**changes):
+    """Return a route of the service stock that may be repeated."""
+    route = Route(path='/stock', service='stock', is_repeatable=True)
+    return route._replace(**changes)
+
+
+def build_policy(**changes):
+    """Return a policy with one customer and one route."""
+    policy = Policy(
+        number=1,
+        customers={'harbour': build_customer()},
+        routes={'lookup': build_route()},
+    )
+    return policy._replace(**changes)
+
+
+def build_ticket(number=1, **changes):
+    """Return a ticket that sets one customer and one route."""
+    ticket = Ticket(
+        number=number,
+        operator='amina',
+        customers={'harbour': build_customer()},
+        routes={'lookup': build_route()},
+    )
+    return ticket._replace(**changes)
+
+
+def build_ticket_tables(number=1, **customer):
+    """Return a ticket as tables, for the command line."""
+    record = {
+        'rate': 1000,
+        'burst': 500,
+        'key_hashes': [hash_key(KEY)],
+        **customer,
+    }
+    return {
+        'number': number,
+        'operator': 'amina',
+        'customers': {'harbour': record},
+        'routes': {
+            'lookup': {
+                'path': '/stock',
+                'service': 'stock',
+                'is_repeatable': True,
+                'timeout_s': 5,
+            },
+            'hold': {'path': '/hold', 'service': 'stock', 'timeout_s': 5},
+            'yards': {
+                'path': '/yard',
+                'service': 'yard',
+                'is_repeatable': True,
+                'timeout_s': 5,
+            },
+            'open': {'path': '/open', 'service': 'yard', 'is_open': True},
+        },
+    }
