Carry calls on loop protocols instead of anyio streams; measure the path

Cause, by profile of both nodes at 200 calls/s: about 20 cancel scopes a call (one for each timed wait, each send of an anyio stream, the task group that watches the caller) and the stream layers were the largest share after uvicorn.

Change: the client connection is an asyncio protocol whose waits time out by a plain timer; the caller's hang-up comes from the server's connection, without a task; a task group is only opened for a body that is still coming; short answers are sent once whole, after the slot is given back.

--- /dev/null
+++ b/bench/path.py
@@ -0,0 +1,141 @@
+"""Measure what two nodes add to a call, paired with calls made directly."""
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import time
+
+from standins.local_fleet import BACKEND, DIRECT, LocalFleet
+from tests.builders import KEY, build_ticket_tables
+
+LAYOUT = [
+    {'name': 'near-1', 'service': 'yard', 'zone': 'zone-a', 'slots': 100},
+    {'name': 'far-1', 'service': 'stock', 'zone': 'zone-a', 'slots': 100},
+]
+RATE = 200
+TICKS = os.sysconf('SC_CLK_TCK')
+
+
+def send(plan):
+    """Run the load sender as a process of its own."""
+    done = subprocess.run(
+        [sys.executable, '-m', 'standins', 'load', json.dumps(plan)],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    return json.loads(done.stdout)
+
+
+def cpu_seconds(process):
+    """Return the processor time a process has used."""
+    with open(f'/proc/{process.pid}/stat') as stat:
+        fields = stat.read().rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def memory_mb(process):
+    """Return the resident memory of a process."""
+    with open(f'/proc/{process.pid}/statm') as statm:
+        return int(statm.read().split()[1]) * 4096 / 1e6
+
+
+def measure(fleet, options):
+    """Send the same load both ways in turn, several times."""
+    base = {
+        'rate': RATE,
+        'seconds': options.seconds,
+        'path': '/stock',
+        'size': 1024,
+        'body': 1024,
+        'headers': {'authorization': f'Bearer {KEY}', 'x-work-ms': '0'},
+    }
+    direct = fleet.address(fleet.host('far-1'), BACKEND, DIRECT)
+    ways = {'direct': direct, 'two nodes': fleet.callers('near-1')}
+    reports = {way: [] for way in ways}
+    cpu = dict.fromkeys(fleet.processes, 0.0)
+    for turn in range(options.turns + 1):
+        for way, target in ways.items():
+            before = {
+                key: cpu_seconds(process)
+                for key, process in fleet.processes.items()
+            }
+            seed = options.seed * 1000 + turn
+            report = send({**base, 'targets': [target], 'seed': seed})
+            if not turn:
+                continue  # the first turn warms up
+            reports[way].append(report)
+            if way == 'two nodes':
+                for key, process in fleet.processes.items():
+                    cpu[key] += cpu_seconds(process) - before[key]
+    return reports, cpu
+
+
+def median(values):
+    """Return the middle of some values."""
+    return sorted(values)[len(values) // 2]
+
+
+def main():
+    """Print one line of JSON for each turn and a summary as the last."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=8)
+    parser.add_argument('--turns', type=int, default=3)
+    options = parser.parse_args()
+    if os.environ.get('QUICK'):
+        options.seconds, options.turns = 4, 2
+    with LocalFleet(LAYOUT) as fleet:
+        fleet.apply(build_ticket_tables(rate=5000, burst=5000))
+        fleet.wait_ready(ticket=True)
+        time.sleep(2)
+        reports, cpu = measure(fleet, options)
+        memory = {
+            key: round(memory_mb(process), 1)
+            for key, process in fleet.processes.items()
+        }
+    for way, rows in reports.items():
+        for row in rows:
+            print(json.dumps({'way': way, **row}))
+    through = reports['two nodes']
+    pairs = list(zip(reports['direct'], through, strict=True))
+    calls = sum(row['sent'] for row in through)
+    print(
+        json.dumps(
+            {
+                'bench': 'path',
+                'seed': options.seed,
+                'added_ms_p50': median(
+                    [
+                        round(row['p50_ms'] - plain['p50_ms'], 3)
+                        for plain, row in pairs
+                    ]
+                ),
+                'added_ms_p99': median(
+                    [
+                        round(row['p99_ms'] - plain['p99_ms'], 3)
+                        for plain, row in pairs
+                    ]
+                ),
+                'added_ms_p99_worst_turn': max(
+                    round(row['p99_ms'] - plain['p99_ms'], 3)
+                    for plain, row in pairs
+                ),
+                'cpu_ms_per_call': {
+                    'ingress': round(cpu['near-1'] * 1000 / calls, 3),
+                    'guard': round(cpu['far-1'] * 1000 / calls, 3),
+                },
+                'memory_mb': memory,
+                'calls': calls,
+                'whole_answers': sum(row['whole'] for row in through),
+                'wrong_answers': sum(row['wrong'] for row in through),
+                'refused': [row['refused'] for row in through],
+            }
+        ),
+    )
+
+
+if __name__ == '__main__':
+    main()
--- a/bench/transports.py
+++ b/bench/transports.py
@@ -95,9 +95,9 @@
             await connection.read_head()
             while await connection.read_chunk():
                 pass
-            await pool.release(connection)
+            pool.release(connection)
 
-        await measure('httptools over anyio', kept_connection)
+        await measure('httptools on a protocol', kept_connection)
         async with httpcore.AsyncConnectionPool() as core:
 
             async def core_call():
--- a/limpetshore/admin.py
+++ b/limpetshore/admin.py
@@ -62,7 +62,7 @@
     ) -> tuple[int, bytes]:
         """Follow the local backend server, or tell it what is wrong."""
         body = RequestBody(
-            scope['headers'],
+            scope,
             receive,
             max_bytes=MAX_ANNOUNCEMENT_BYTES,
             stall_s=STALL_S,
--- a/limpetshore/bodies.py
+++ b/limpetshore/bodies.py
@@ -8,6 +8,7 @@
 
 from limpetshore.errors import LimpetshoreError, refuse
 from limpetshore.httpclient import Headers
+from limpetshore.httpserver import find_connection
 from limpetshore.messages import (
     REASON_HEADER,
     REQUEST_ID_HEADER,
@@ -17,6 +18,9 @@
 from limpetshore.verdicts import Reason, Refusal
 
 
+LAST_PIECE = {'type': 'http.response.body', 'body': b''}
+
+
 class CallerGoneError(LimpetshoreError):
     """Report that the caller hung up or stopped sending."""
 
@@ -26,23 +30,22 @@
 
     def __init__(
         self,
-        headers: Headers,
+        scope: Any,
         receive: Any,
         *,
         max_bytes: int,
         stall_s: float,
     ) -> None:
         """Look at the headers; refuse a body that is announced too large."""
+        headers: Headers = scope['headers']
+        self.connection = find_connection(scope)
         self.receive = receive
         self.max_bytes = max_bytes
         self.stall_s = stall_s
         self.length = take_header(headers, b'content-length')
         is_chunked = take_header(headers, b'transfer-encoding') is not None
         self.is_complete = not is_chunked and self.length in {None, b'0'}
-        self.completed = anyio.Event()
         self.bytes_read = 0
-        if self.is_complete:
-            self.completed.set()
         if self.length is not None and int(self.length) > max_bytes:
             raise refuse(Reason.BODY_TOO_LARGE, f'over {max_bytes} bytes')
 
@@ -57,13 +60,17 @@
         self.bytes_read += len(piece)
         if self.bytes_read > self.max_bytes:
             raise refuse(Reason.BODY_TOO_LARGE, f'over {self.max_bytes} bytes')
-        if not message.get('more_body', False):
-            self.is_complete = True
-            self.completed.set()
+        self.is_complete = not message.get('more_body', False)
         return piece
 
     async def read_first(self, up_to: int) -> bytes:
         """Return the whole body if it is short, else its beginning."""
+        if self.is_complete:
+            return b''
+        whole = self.connection.take_whole_body()
+        if whole is not None:
+            self.is_complete = True
+            return whole
         pieces: list[bytes] = []
         while not self.is_complete and self.bytes_read <= up_to:
             pieces.append(await self.read_piece())
@@ -74,13 +81,6 @@
         while not self.is_complete:
             yield await self.read_piece()
 
-    async def wait_gone(self) -> None:
-        """Return once the caller hangs up after its whole request."""
-        await self.completed.wait()
-        message = await self.receive()
-        while message['type'] != 'http.disconnect':
-            message = await self.receive()
-
 
 class AnswerSender:
     """Send an answer to one request, with a bound on standing still."""
@@ -102,8 +102,21 @@
             }
         )
 
+    async def send_whole(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes,
+    ) -> None:
+        """Send a short answer at once, which the socket's buffer takes."""
+        await self.start(status, headers)
+        await self.send({'type': 'http.response.body', 'body': body})
+
     async def send_body(self, chunk: bytes, *, is_last: bool) -> None:
         """Send a piece of the body; give up on a caller that reads nothing."""
+        if is_last and not chunk:
+            await self.send(LAST_PIECE)
+            return
         with anyio.move_on_after(self.stall_s):
             await self.send(
                 {
@@ -143,5 +156,4 @@
     if refusal.retry_after:
         seconds = max(1, round(refusal.retry_after))
         headers.append((b'retry-after', b'%d' % seconds))
-    await sender.start(refusal.status, headers)
-    await sender.send_body(body, is_last=True)
+    await sender.send_whole(refusal.status, headers, body)
--- a/limpetshore/exchanges.py
+++ b/limpetshore/exchanges.py
@@ -4,12 +4,16 @@
 from collections.abc import AsyncIterator
 from typing import NamedTuple
 
-import anyio
 from anyio.abc import TaskGroup
 
 from limpetshore import clock
 from limpetshore.bodies import CallerGoneError
-from limpetshore.errors import LimpetshoreError, RefusedError, refuse
+from limpetshore.errors import (
+    LimpetshoreError,
+    RefusedError,
+    TruncatedError,
+    refuse,
+)
 from limpetshore.httpclient import Headers, HttpConnection, ResponseHead
 from limpetshore.messages import AnswerMeta, CallMeta
 from limpetshore.verdicts import Reason, Refusal, Verdict
@@ -18,7 +22,8 @@
 class OutboundRequest(NamedTuple):
     """Hold a request on its way; `deadline` is on the local clock.
 
-    `first` is the part of the body already read, `rest` what follows.
+    `first` is the part of the body already read, `rest` what follows, sent
+    by a task of its own in `tasks`.
     """
 
     method: bytes
@@ -29,7 +34,7 @@
     length: bytes | None
     meta: CallMeta
     deadline: float
-    tasks: TaskGroup
+    tasks: TaskGroup | None
 
 
 class Answer(NamedTuple):
@@ -112,7 +117,7 @@
     except CallerGoneError:
         request.tasks.cancel_scope.cancel()
     except LimpetshoreError:
-        await connection.close()
+        connection.close()
 
 
 async def send_piece(
@@ -128,15 +133,29 @@
         await connection.send(piece)
 
 
+async def read_chunk_within(
+    connection: HttpConnection,
+    stall_s: float,
+) -> bytes:
+    """Return the next piece of an answer that must not stand still."""
+    try:
+        return await connection.read_chunk(stall_s)
+    except TimeoutError as error:
+        raise TruncatedError(
+            f'{connection.address} stopped sending its answer',
+        ) from error
+
+
 async def read_head_by(
     connection: HttpConnection,
     deadline: float,
 ) -> ResponseHead:
     """Wait for the head of an answer until a deadline."""
-    with anyio.move_on_after(max(0, deadline - clock.now())):
-        return await connection.read_head()
-    raise refuse(
-        Reason.DEADLINE,
-        'no answer before the deadline',
-        verdict=Verdict.MAY_HAVE_RUN,
-    )
+    try:
+        return await connection.read_head(max(0, deadline - clock.now()))
+    except TimeoutError as error:
+        raise refuse(
+            Reason.DEADLINE,
+            'no answer before the deadline',
+            verdict=Verdict.MAY_HAVE_RUN,
+        ) from error
--- a/limpetshore/guard.py
+++ b/limpetshore/guard.py
@@ -1,7 +1,5 @@
 """Admit calls to the local backend server and carry them there."""
 
-import anyio
-
 from limpetshore import clock
 from limpetshore.admission import Admission
 from limpetshore.backends import LocalBackend, is_shed
@@ -23,6 +21,7 @@
     AnswerRefusedError,
     Exchange,
     OutboundRequest,
+    read_chunk_within,
     read_head_by,
     send_request,
 )
@@ -277,20 +276,20 @@
 
     async def read_chunk(self) -> bytes:
         """Return the next piece of the answer, empty at its end."""
-        with anyio.move_on_after(self.guard.settings.call.stall_s):
-            chunk = await self.connection.read_chunk()
-            if not chunk:
-                self.finish_whole()
-            return chunk
-        raise TruncatedError('the server stopped sending its answer')
+        chunk = await read_chunk_within(
+            self.connection,
+            self.guard.settings.call.stall_s,
+        )
+        if not chunk:
+            self.finish_whole()
+        return chunk
 
     def finish_whole(self) -> None:
         """Learn from a whole answer."""
         guard = self.guard
         latency = clock.now() - self.started
         guard.admission.observe(latency)
-        guard.metrics.answers.labels('guard').inc()
-        guard.metrics.latency.labels('guard').observe(latency)
+        guard.metrics.observe_answer('guard', latency)
 
     async def close(self) -> None:
         """End the call, give back its slot and its connection."""
@@ -304,5 +303,4 @@
         connection = self.connection
         self.connection = None
         if connection:
-            with anyio.CancelScope(shield=True):
-                await guard.pool.release(connection)
+            guard.pool.release(connection)
--- a/limpetshore/httpclient.py
+++ b/limpetshore/httpclient.py
@@ -1,7 +1,7 @@
 """Speak HTTP/1.1 as a client, one request at a time on a kept connection."""
 
+import asyncio
 import contextlib
-import select
 import socket
 from collections import deque
 from collections.abc import AsyncIterator
@@ -9,18 +9,16 @@
 
 import anyio
 import httptools
-from anyio.abc import SocketStream
 
 from limpetshore import clock
 from limpetshore.errors import BrokenError, ConnectError, TruncatedError
 
 Headers = list[tuple[bytes, bytes]]
 
-READ_BYTES = 65536
+MAX_BUFFERED_BYTES = 262144
 CONNECT_TIMEOUT_S = 1.0
 UNACKED_TIMEOUT_MS = 5000
 LAST_INFORMATIONAL_STATUS = 199
-CHUNKED = (b'transfer-encoding', b'chunked')
 
 
 class Address(NamedTuple):
@@ -53,6 +51,7 @@
         self.body: deque[bytes] = deque()
         self.is_complete = False
         self.is_kept_alive = False
+        self.buffered = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep one header, its name in lower case."""
@@ -76,19 +75,67 @@
         self.is_kept_alive = self.parser.should_keep_alive()
 
 
-class HttpConnection:
-    """Carry one request after the other over one TCP connection."""
+class HttpConnection(asyncio.Protocol):
+    """Carry one request after the other over one TCP connection.
 
-    def __init__(self, stream: SocketStream, address: Address) -> None:
-        """Wrap a connected stream."""
-        self.stream = stream
+    A protocol of the event loop, since streams of anyio cost a call between
+    nodes twice the processor time; see the design note on the data path.
+    """
+
+    def __init__(self, address: Address) -> None:
+        """Start unconnected."""
         self.address = address
+        self.loop = asyncio.get_running_loop()
+        self.transport: asyncio.Transport | None = None
         self.reader = ResponseReader()
         self.is_reusable = True
+        self.is_lost = False
+        self.is_dirty = False
+        self.is_paused = False
         self.idle_since = clock.now()
-        self.file_number = stream.extra(
-            anyio.abc.SocketAttribute.raw_socket,
-        ).fileno()
+        self.read_waiter: asyncio.Future[None] | None = None
+        self.write_waiter: asyncio.Future[None] | None = None
+        self.damage: httptools.HttpParserError | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Detect a peer that acknowledges nothing."""
+        self.transport = transport
+        transport.get_extra_info('socket').setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            UNACKED_TIMEOUT_MS,
+        )
+
+    def data_received(self, received: bytes) -> None:
+        """Feed the parser, and stop reading while much waits to be taken."""
+        if self.is_reusable:
+            self.is_dirty = True  # nothing was asked
+            return
+        reader = self.reader
+        try:
+            reader.parser.feed_data(received)
+        except httptools.HttpParserError as error:
+            self.damage = error
+        wake(self.read_waiter)
+        reader.buffered += len(received)
+        if reader.buffered > MAX_BUFFERED_BYTES and not self.is_paused:
+            self.is_paused = True
+            self.transport.pause_reading()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Wake whoever waits."""
+        self.is_lost = True
+        wake(self.read_waiter)
+        wake(self.write_waiter)
+
+    def pause_writing(self) -> None:
+        """Let senders wait while the send buffer is full."""
+        self.write_waiter = self.loop.create_future()
+
+    def resume_writing(self) -> None:
+        """Let senders go on."""
+        wake(self.write_waiter)
+        self.write_waiter = None
 
     async def send_head(
         self,
@@ -108,30 +155,46 @@
 
     async def send(self, chunk: bytes) -> None:
         """Send raw bytes of the request."""
-        try:
-            await self.stream.send(chunk)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-            raise BrokenError(f'{self.address} hung up') from error
-
-    async def read_head(self) -> ResponseHead:
-        """Wait for the status and headers of the answer."""
+        if self.is_lost or self.transport.is_closing():
+            raise BrokenError(f'{self.address} hung up')
+        self.transport.write(chunk)
+        if self.write_waiter is not None:
+            await self.write_waiter
+
+    async def read_head(self, timeout_s: float | None = None) -> ResponseHead:
+        """Wait for the head of the answer; raise TimeoutError after a while."""
         reader = self.reader
         while reader.head is None:
-            await self.feed(BrokenError)
+            await self.wait(BrokenError, timeout_s)
         if not is_self_delimited(reader.head):
             raise TruncatedError(f'{self.address} sent no length of its answer')
         return reader.head
 
-    async def read_chunk(self) -> bytes:
+    @property
+    def has_chunk(self) -> bool:
+        """Tell whether `read_chunk` returns without waiting."""
+        return bool(self.reader.body) or self.reader.is_complete
+
+    async def read_chunk(self, timeout_s: float | None = None) -> bytes:
         """Return the next piece of the body, empty at its end."""
         reader = self.reader
         while not reader.body and not reader.is_complete:
-            await self.feed(TruncatedError)
+            await self.wait(TruncatedError, timeout_s)
         if reader.body:
-            return reader.body.popleft()
-        self.is_reusable = reader.is_kept_alive
+            chunk = reader.body.popleft()
+            self.resume_reading(len(chunk))
+            return chunk
+        self.is_reusable = reader.is_kept_alive and not self.is_lost
         return b''
 
+    def resume_reading(self, taken: int) -> None:
+        """Read on once little waits to be taken."""
+        reader = self.reader
+        reader.buffered -= taken
+        if self.is_paused and reader.buffered < MAX_BUFFERED_BYTES // 2:
+            self.is_paused = False
+            self.transport.resume_reading()
+
     async def read_all(self) -> bytes:
         """Return the body to its end."""
         chunks = []
@@ -139,34 +202,50 @@
             chunks.append(chunk)
         return b''.join(chunks)
 
-    async def feed(
+    async def wait(
         self,
         error_class: type[BrokenError | TruncatedError],
+        timeout_s: float | None,
     ) -> None:
-        """Read once from the network into the parser."""
-        try:
-            received = await self.stream.receive(READ_BYTES)
-        except (
-            anyio.EndOfStream,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-        ) as error:
-            raise error_class(f'{self.address} ended early') from error
+        """Wait until more was received; raise TimeoutError after a while."""
+        if self.damage:
+            raise error_class(f'{self.address} is not HTTP: {self.damage}')
+        if self.is_lost:
+            raise error_class(f'{self.address} ended early')
+        waiter = self.loop.create_future()
+        self.read_waiter = waiter
+        timer = None
+        if timeout_s is not None:
+            timer = self.loop.call_later(timeout_s, time_out, waiter)
         try:
-            self.reader.parser.feed_data(received)
-        except httptools.HttpParserError as error:
-            raise error_class(f'{self.address} is not HTTP: {error}') from error
+            await waiter
+        finally:
+            self.read_waiter = None
+            if timer is not None:
+                timer.cancel()
 
     def is_quiet(self) -> bool:
         """Tell that the peer neither closed nor sent anything unasked."""
-        poll = select.poll()
-        poll.register(self.file_number, select.POLLIN | select.POLLRDHUP)
-        return not poll.poll(0)
+        return not (
+            self.is_lost or self.is_dirty or self.transport.is_closing()
+        )
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close at once, without waiting for the peer."""
         self.is_reusable = False
-        await anyio.aclose_forcefully(self.stream)
+        self.transport.abort()
+
+
+def wake(waiter: asyncio.Future[None] | None) -> None:
+    """Wake whoever awaits a future."""
+    if waiter is not None and not waiter.done():
+        waiter.set_result(None)
+
+
+def time_out(waiter: asyncio.Future[None]) -> None:
+    """Wake whoever awaits a future with a timeout."""
+    if not waiter.done():
+        waiter.set_exception(TimeoutError())
 
 
 def is_self_delimited(head: ResponseHead) -> bool:
@@ -187,18 +266,17 @@
 
 async def connect(address: Address) -> HttpConnection:
     """Open a new connection within the connect timeout."""
+    loop = asyncio.get_running_loop()
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
-            stream = await anyio.connect_tcp(address.host, address.port)
+            _, connection = await loop.create_connection(
+                lambda: HttpConnection(address),
+                address.host,
+                address.port,
+            )
     except (OSError, TimeoutError) as error:
         raise ConnectError(f'cannot connect to {address}: {error}') from error
-    raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    raw_socket.setsockopt(
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        UNACKED_TIMEOUT_MS,
-    )
-    return HttpConnection(stream, address)
+    return connection
 
 
 class HttpPool:
@@ -219,16 +297,16 @@
             connection = self.idle.pop()
             if connection.idle_since >= oldest and connection.is_quiet():
                 return connection
-            await connection.close()
+            connection.close()
         return await connect(self.address)
 
-    async def release(self, connection: HttpConnection) -> None:
+    def release(self, connection: HttpConnection) -> None:
         """Keep the connection if its answer was read to the end."""
-        if not connection.is_reusable:
-            await connection.close()
-            return
-        connection.idle_since = clock.now()
-        self.idle.append(connection)
+        if connection.is_reusable:
+            connection.idle_since = clock.now()
+            self.idle.append(connection)
+        else:
+            connection.close()
 
     @contextlib.asynccontextmanager
     async def lend(self) -> AsyncIterator[HttpConnection]:
@@ -237,10 +315,9 @@
         try:  # noqa: WPS501
             yield connection
         finally:
-            with anyio.CancelScope(shield=True):
-                await self.release(connection)
+            self.release(connection)
 
-    async def retire(self) -> None:
+    def retire(self) -> None:
         """Close all idle connections, since one of them went silent."""
         while self.idle:
-            await self.idle.pop().close()
+            self.idle.pop().close()
--- a/limpetshore/ingress.py
+++ b/limpetshore/ingress.py
@@ -4,7 +4,7 @@
 import secrets
 from typing import Any
 
-import anyio
+from anyio.abc import TaskGroup
 from logbook import Logger
 
 from limpetshore import clock
@@ -45,9 +45,9 @@
 from limpetshore.metrics import Metrics
 from limpetshore.peers import (
     PeerExchange,
-    cancel_when_gone,
     pass_on,
     read_target,
+    run_while_connected,
 )
 from limpetshore.policies import PolicyIndex, RouteMatch
 from limpetshore.repeats import find_owner, parse_request_id
@@ -202,14 +202,19 @@
         self.check_levels(match)
         body = self.open_body()
         first = await body.read_first(self.ingress.settings.call.replay_bytes)
-        error: Exception | None = None
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(cancel_when_gone, body, tasks.cancel_scope)
-            request = self.build_request(match, body, first, tasks)
-            error = await self.attempt_until_answered(match, request)
-            tasks.cancel_scope.cancel()
-        if error is not None:
-            raise error
+        request = self.build_request(match, body, first)
+        failure: Exception | None = None
+
+        async def try_servers(tasks: TaskGroup | None) -> None:  # noqa: WPS430
+            nonlocal failure  # noqa: WPS420
+            failure = await self.attempt_until_answered(
+                match,
+                request._replace(tasks=tasks),
+            )
+
+        await run_while_connected(self.scope, body, try_servers)
+        if failure is not None:
+            raise failure
 
     def check_levels(self, match: RouteMatch) -> None:
         """Refuse early what a server further down would refuse late."""
@@ -230,7 +235,7 @@
         """Return the request body, to be read in bounded memory."""
         call = self.ingress.settings.call
         return RequestBody(
-            self.headers,
+            self.scope,
             self.receive,
             max_bytes=call.max_body_bytes,
             stall_s=call.stall_s,
@@ -241,7 +246,6 @@
         match: RouteMatch,
         body: RequestBody,
         first: bytes,
-        tasks: anyio.abc.TaskGroup,
     ) -> OutboundRequest:
         """Return what is sent on, without the caller's key."""
         context = self.origin.context
@@ -268,7 +272,7 @@
             length=body.length,
             meta=meta,
             deadline=context.deadline,
-            tasks=tasks,
+            tasks=None,
         )
 
     async def attempt_until_answered(
@@ -399,10 +403,8 @@
         ingress.balancer.view(server.name).succeed(answer.meta)
         ingress.tokens(match.route.service).earn()
         self.learn_deep(match, 0, answer.meta.deep_level)
-        ingress.metrics.answers.labels('ingress').inc()
-        ingress.metrics.latency.labels('ingress').observe(
-            clock.now() - self.started,
-        )
+        latency = clock.now() - self.started
+        ingress.metrics.observe_answer('ingress', latency)
 
     def learn_deep(
         self,
@@ -436,8 +438,13 @@
                 verdict=Verdict.MAY_HAVE_RUN,
             ) from error
         headers = clean_headers(answer.head.headers, frozenset())
-        await self.sender.start(answer.head.status, [*headers, mark])
-        await self.sender.send_body(b''.join(chunks), is_last=True)
+        # The slot is free before a slow caller has read its answer.
+        await exchange.close()
+        await self.sender.send_whole(
+            answer.head.status,
+            [*headers, mark],
+            b''.join(chunks),
+        )
 
     def settle(self) -> None:
         """Give back to the call above what its nested call did not spend."""
--- a/limpetshore/metrics.py
+++ b/limpetshore/metrics.py
@@ -116,6 +116,12 @@
             labels: self.refusals.labels(*labels)
             for labels in itertools.product(ROLES, Reason, REFUSING_VERDICTS)
         }
+        self.answer_children = {
+            role: self.answers.labels(role) for role in ROLES
+        }
+        self.latency_children = {
+            role: self.latency.labels(role) for role in ROLES
+        }
         self.retry_children = {
             reason: self.retries.labels(reason.value) for reason in Reason
         }
@@ -125,6 +131,11 @@
         labels = (role, refusal.reason, refusal.verdict)
         self.refusal_children[labels].inc()
 
+    def observe_answer(self, role: str, latency: float) -> None:
+        """Count a whole answer that took `latency` seconds."""
+        self.answer_children[role].inc()
+        self.latency_children[role].observe(latency)
+
     def expose(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
--- a/limpetshore/peers.py
+++ b/limpetshore/peers.py
@@ -1,9 +1,12 @@
 """Carry calls between nodes: the sending and the serving half."""
 
+import contextlib
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
 import msgspec
+from anyio.abc import TaskGroup
 
 from limpetshore import clock
 from limpetshore.bodies import (
@@ -25,6 +28,7 @@
     AnswerRefusedError,
     Exchange,
     OutboundRequest,
+    read_chunk_within,
     send_request,
 )
 from limpetshore.guard import Guard, GuardExchange
@@ -35,6 +39,7 @@
     HttpPool,
     ResponseHead,
 )
+from limpetshore.httpserver import find_connection
 from limpetshore.messages import (
     ANSWER_HEADER,
     CALL_HEADER,
@@ -91,7 +96,7 @@
         deadline = clock.now() + meta.timeout_ms / MS_IN_S
         try:
             body = RequestBody(
-                scope['headers'],
+                scope,
                 receive,
                 max_bytes=call.max_body_bytes,
                 stall_s=call.stall_s,
@@ -104,21 +109,22 @@
             return
         except CallerGoneError:
             return
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(cancel_when_gone, body, tasks.cancel_scope)
-            request = OutboundRequest(
-                method=scope['method'].encode(),
-                target=read_target(scope),
-                headers=clean_headers(scope['headers'], DROPPED_FROM_PEERS),
-                first=first,
-                rest=None if body.is_complete else body.read_rest(),
-                length=body.length,
-                meta=meta,
-                deadline=deadline,
-                tasks=tasks,
-            )
-            await self.carry(request, sender)
-            tasks.cancel_scope.cancel()
+        request = OutboundRequest(
+            method=scope['method'].encode(),
+            target=read_target(scope),
+            headers=clean_headers(scope['headers'], DROPPED_FROM_PEERS),
+            first=first,
+            rest=None if body.is_complete else body.read_rest(),
+            length=body.length,
+            meta=meta,
+            deadline=deadline,
+            tasks=None,
+        )
+        await run_while_connected(
+            scope,
+            body,
+            lambda tasks: self.carry(request._replace(tasks=tasks), sender),
+        )
 
     async def carry(
         self,
@@ -192,13 +198,27 @@
     return b'%b?%b' % (path, query) if query else path
 
 
-async def cancel_when_gone(
+async def run_while_connected(
+    scope: Any,
     body: RequestBody,
-    scope: anyio.CancelScope,
+    work: Callable[[TaskGroup | None], Awaitable[None]],
 ) -> None:
-    """Cancel the work for a caller that hangs up."""
-    await body.wait_gone()
-    scope.cancel()
+    """Do some work, and stop it if the caller hangs up.
+
+    Only a body that is still coming needs a task group, to be sent from.
+    """
+    connection = find_connection(scope)
+    if body.is_complete:
+        with anyio.CancelScope() as cancel:
+            connection.when_gone = cancel.cancel
+            if not connection.is_gone:
+                await work(None)
+    else:
+        async with anyio.create_task_group() as tasks:
+            connection.when_gone = tasks.cancel_scope.cancel
+            await work(tasks)
+            tasks.cancel_scope.cancel()
+    connection.when_gone = None
 
 
 async def pass_on(
@@ -260,8 +280,8 @@
         lost_probes = 0
         while clock.now() < request.deadline:
             left = request.deadline - clock.now()
-            with anyio.move_on_after(min(patience, left)):
-                return await self.connection.read_head()
+            with contextlib.suppress(TimeoutError):
+                return await self.connection.read_head(min(patience, left))
             reply = await self.probe(request)
             lost_probes = 0 if reply else lost_probes + 1
             if lost_probes >= PROBES_UNTIL_LOST:
@@ -279,15 +299,16 @@
         """Tell whether a call has ended; raise if it did not arrive."""
         if reply.has_arrived:
             return not reply.is_running
-        await self.pool.retire()
+        self.pool.retire()
         raise silent('the call did not arrive', Verdict.NOT_RUN)
 
     async def wait_last_moment(self) -> ResponseHead:
         """Wait for an answer that is sent already, if it still comes."""
-        with anyio.move_on_after(ANSWER_GRACE_S):
-            return await self.connection.read_head()
-        await self.pool.retire()
-        raise silent('the answer was lost on the way')
+        try:
+            return await self.connection.read_head(ANSWER_GRACE_S)
+        except TimeoutError as error:
+            self.pool.retire()
+            raise silent('the answer was lost on the way') from error
 
     async def ask_verdict(self, request: OutboundRequest) -> Verdict:
         """Find out whether a call whose connection broke can have run."""
@@ -321,17 +342,14 @@
 
     async def read_chunk(self) -> bytes:
         """Return the next piece of the answer, empty at its end."""
-        with anyio.move_on_after(self.stall_s):
-            return await self.connection.read_chunk()
-        raise TruncatedError('the answer stood still')
+        return await read_chunk_within(self.connection, self.stall_s)
 
     async def close(self) -> None:
         """Keep the connection if the answer is whole, else cut it."""
         connection = self.connection
         self.connection = None
         if connection:
-            with anyio.CancelScope(shield=True):
-                await self.pool.release(connection)
+            self.pool.release(connection)
 
 
 def read_refusal(meta: AnswerMeta) -> Refusal:
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -113,8 +113,7 @@
             while await connection.read_chunk():
                 pass
         finally:
-            with anyio.CancelScope(shield=True):
-                await self.node.release(connection)
+            self.node.release(connection)
         return head.status
 
     async def answer(self, send, headers, received, statuses):
--- a/standins/load_sender.py
+++ b/standins/load_sender.py
@@ -115,8 +115,7 @@
         return
     finally:
         if connection:
-            with anyio.CancelScope(shield=True):
-                await pool.release(connection)
+            pool.release(connection)
     judge(head, content, echo, request_id, tally, plan)
     tally.latencies_ms.append((time.monotonic() - due) * 1000)
 
