--- a/bench/path.py
+++ b/bench/path.py
@@ -3,8 +3,6 @@
 import argparse
 import json
 import os
-import subprocess
-import sys
 import time
 
 from standins.local_fleet import BACKEND, DIRECT, LocalFleet
@@ -18,17 +16,6 @@
 TICKS = os.sysconf('SC_CLK_TCK')
 
 
-def send(plan):
-    """Run the load sender as a process of its own."""
-    done = subprocess.run(
-        [sys.executable, '-m', 'standins', 'load', json.dumps(plan)],
-        capture_output=True,
-        text=True,
-        check=True,
-    )
-    return json.loads(done.stdout)
-
-
 def cpu_seconds(process):
     """Return the processor time a process has used."""
     with open(f'/proc/{process.pid}/stat') as stat:
@@ -63,7 +50,7 @@
                 for key, process in fleet.processes.items()
             }
             seed = options.seed * 1000 + turn
-            report = send({**base, 'targets': [target], 'seed': seed})
+            report = fleet.send({**base, 'targets': [target], 'seed': seed})
             if not turn:
                 continue  # the first turn warms up
             reports[way].append(report)
--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -239,6 +239,27 @@
         address = self.address(STORE_HOST, STORE, DIRECT)
         return self.command('apply', str(path), '--store', address)
 
+    def start_load(self, plan):
+        """Start the load sender as a process of its own."""
+        return subprocess.Popen(
+            [sys.executable, '-m', 'standins', 'load', json.dumps(plan)],
+            stdout=subprocess.PIPE,
+            text=True,
+            cwd=Path(__file__).parent.parent,
+        )
+
+    def send(self, plan):
+        """Send load and return the report."""
+        return read_report(self.start_load(plan))
+
+    def runs(self):
+        """Return how often each request id ran, over all servers."""
+        total = {}
+        for row in self.layout:
+            for request_id, count in self.counts(row['name'])['runs'].items():
+                total[request_id] = total.get(request_id, 0) + count
+        return total
+
     def signal(self, key, number):
         """Send a signal to a process."""
         self.processes[key].send_signal(number)
@@ -276,6 +297,12 @@
         self.stop()
 
 
+def read_report(process):
+    """Wait for a load sender to end and return its report."""
+    output, _ = process.communicate(timeout=120)
+    return json.loads(output)
+
+
 def to_toml(tables, prefix=''):
     """Write tables as TOML."""
     lines = []
