Keep a node alive when gRPC cancels calls of a closed channel

A control call that failed closed its channel; gRPC then cancelled the other calls of that channel with the cancellation of asyncio, which the node's task group took for its own end.

Ruled out: the signal receiver (no "leaving" line), memory (none killed), the pause itself (three pauses without load left the node alive).

Before: tests/test_control.py, two calls beside each other, one times out: the other vanished with a cancellation.

--- a/limpetshore/control.py
+++ b/limpetshore/control.py
@@ -1,5 +1,6 @@
 """Carry control messages between nodes by gRPC, with MessagePack inside."""
 
+import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -146,6 +147,11 @@
                 f'/{SERVICE}/{method}',
             )(encoded, timeout=timeout_s)
             decoded = msgspec.msgpack.decode(reply, type=reply_class)
+        except asyncio.CancelledError as error:
+            if asyncio.current_task().cancelling():
+                raise
+            # gRPC cancels the calls of a channel that another call closed.
+            raise PeerError(f'{address}: the channel was closed') from error
         except (aio.AioRpcError, msgspec.MsgspecError) as error:
             self.metrics.control_calls.labels(method, 'failed').inc()
             await self.drop(address)
--- a/standins/load_sender.py
+++ b/standins/load_sender.py
@@ -24,6 +24,7 @@
         self.latencies_ms = []
         self.not_run_ids = []
         self.whole_ids = []
+        self.events = []
 
     def report(self):
         """Return the figures."""
@@ -54,7 +55,8 @@
     """Send calls as a plan says and return the report.
 
     The plan: `targets` (addresses), `rate`, `seconds`, `seed`, `path`,
-    `headers`, `size`, `timeout_s`, `ids` (send a request id with each call).
+    `headers`, `size`, `timeout_s`, `ids` (send a request id with each call),
+    `move_s` (send all to one target, the next one after so many seconds).
     """
     chance = random.Random(plan.get('seed', 1))
     pools = [HttpPool(parse_address(target), 20) for target in plan['targets']]
@@ -68,9 +70,13 @@
                 break
             await anyio.sleep(max(0, due - time.monotonic()))
             tally.sent += 1
+            pool = chance.choice(pools)
+            if plan.get('move_s'):
+                turn = int(time.monotonic() / plan['move_s'])
+                pool = pools[turn % len(pools)]
             tasks.start_soon(
                 send_one,
-                chance.choice(pools),
+                pool,
                 plan,
                 tally,
                 due,
@@ -79,6 +85,7 @@
     if plan.get('keep_ids'):
         report['not_run_ids'] = tally.not_run_ids
         report['whole_ids'] = tally.whole_ids
+        report['events'] = tally.events
     return report
 
 
@@ -97,6 +104,7 @@
     body = b'b' * plan.get('body', 0)
     headers.append((b'content-length', str(len(body)).encode()))
     connection = None
+    asked_at = time.time()
     try:
         with anyio.fail_after(plan.get('timeout_s', 10)):
             connection = await pool.acquire()
@@ -116,6 +124,14 @@
     finally:
         if connection:
             pool.release(connection)
+    is_rate = dict(head.headers).get(b'x-limpetshore-reason', b'')
+    if head.status == 200 or not is_rate.startswith(b'rate'):
+        answered = 'admitted'
+        if head.status != 200:
+            answered = 'failed'
+        tally.events.append((asked_at, time.time(), answered))
+    else:
+        tally.events.append((asked_at, time.time(), 'refused'))
     judge(head, content, echo, request_id, tally, plan)
     tally.latencies_ms.append((time.monotonic() - due) * 1000)
 
--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -340,8 +340,8 @@
 def wait_until(check, what, timeout_s=STARTED_S):
     """Wait until a check holds; connection failures count as not yet."""
     end = time.monotonic() + timeout_s
-    error = None
     while time.monotonic() < end:
+        error = None
         try:
             if check():
                 return
