Find the concurrency limit by answers a second instead of latency

The limit fell to 1 since latency had risen five times, though no queue caused it, and so cut the goodput of slow work further.

Change: the limit is raised or lowered for a moment while it is used up, and keeps the change only by the answers a second that came.

Ruled out: backing off failed raises (a raise that met the slow-down left 3 of 4 slots for 80 s); lowering probes at 8 slots or fewer (a quarter of the goodput of two slots for half a second).

--- /dev/null
+++ b/bench/overload.py
@@ -0,0 +1,249 @@
+"""Overload a call chain four deep and compare ways to control it."""
+
+import argparse
+import json
+import os
+import threading
+import time
+
+from limpetshore.policies import hash_key
+from standins.local_fleet import LocalFleet, read_report
+
+CHAIN = ('edge', 'plan', 'stock', 'yard')
+DEADLINE_S = 1.0
+RATE = 50.0
+SLOTS = 4
+DEEP_SLOTS = 2
+DEEP_MS = 40
+CUSTOMERS = [
+    # name, share of the load, importance it may claim
+    ('large-1', 30, 'critical'),
+    ('large-2', 25, 'critical'),
+    ('small-1', 10, 'critical'),
+    ('small-2', 10, 'critical'),
+    ('small-3', 10, 'critical'),
+    ('small-4', 5, 'critical'),
+    ('small-5', 5, 'critical'),
+    ('small-6', 5, 'critical'),
+]
+LAYOUT = [
+    {
+        'name': f'{service}-{number}',
+        'service': service,
+        'zone': f'zone-{"ab"[number - 1]}',
+        'slots': DEEP_SLOTS if service == 'yard' else 12,
+        'service_ms': DEEP_MS if service == 'yard' else 2,
+    }
+    for service in CHAIN
+    for number in (1, 2)
+]
+UNBOUNDED = 100_000
+SIDES = {
+    'none': {
+        'admission': {
+            'initial_share': 1,
+            'probe_s': 86400,
+            'queue_per_slot': 100,
+            'max_wait_s': 60,
+            'level_half_life_s': 0.001,
+            'retry_tokens': 10000,
+            'retry_earning': 1,
+        },
+        'backend': {'max_slots': UNBOUNDED},
+    },
+    'fixed': {
+        'admission': {
+            'initial_share': 1,
+            'probe_s': 86400,
+            'level_half_life_s': 0.001,
+        },
+    },
+    'ours': {},
+}
+TRIGGERS = ('slow', 'surge', 'retries', 'greedy')
+
+
+def build_ticket():
+    """Return a ticket with eight customers and the routes of the chain."""
+    customers = {
+        name: {
+            'rate': max(2, RATE * share / 100 * 1.5),
+            'burst': max(4, round(RATE * share / 100 * 2)),
+            'most_important': importance,
+            'key_hashes': [hash_key(f'ls_{name}')],
+        }
+        for name, share, importance in CUSTOMERS
+    }
+    routes = {
+        service: {
+            'path': f'/{service}',
+            'service': service,
+            'is_repeatable': True,
+            'timeout_s': DEADLINE_S,
+            'retries': 2,
+        }
+        for service in CHAIN
+    }
+    return {
+        'number': 1,
+        'operator': 'bench',
+        'customers': customers,
+        'routes': routes,
+    }
+
+
+def build_plan(fleet, trigger, seed, phases):
+    """Return the load for one trigger."""
+    before, during, after = phases
+    plan = {
+        'targets': [fleet.callers('edge-1'), fleet.callers('edge-2')],
+        'rate': RATE,
+        'seconds': before + during + after,
+        'seed': seed,
+        'path': '/edge',
+        'headers': {'x-nested': '/plan>/stock>/yard'},
+        'callers': [
+            [name, f'ls_{name}', share] for name, share, _ in CUSTOMERS
+        ],
+        'timeout_s': DEADLINE_S * 2,
+        'deadline_s': DEADLINE_S,
+        'tries': 3 if trigger == 'retries' else 1,
+    }
+    if trigger == 'surge':
+        plan['surges'] = [[before, before + during, 3]]
+    if trigger == 'greedy':
+        plan['surges'] = [[before, before + during, 2.2]]
+        plan['greed'] = [[before, before + during, 'large-1', 5]]
+    return plan
+
+
+def run_side(side, trigger, seed, phases):
+    """Run one trigger against one way of control; return the figures."""
+    before, during, _ = phases
+    layout = LAYOUT
+    if side == 'none':
+        layout = [{**row, 'announced_slots': UNBOUNDED} for row in LAYOUT]
+    with LocalFleet(layout, settings=SIDES[side]) as fleet:
+        fleet.apply(build_ticket())
+        fleet.wait_ready(ticket=True)
+        warm_up(fleet, seed)
+        earlier = deep_calls(fleet)
+        load = fleet.start_load(build_plan(fleet, trigger, seed, phases))
+        if trigger in {'slow', 'retries'}:
+            start = threading.Timer(before + 0.4, slow, (fleet, 5))
+            end = threading.Timer(before + during + 0.4, slow, (fleet, 1))
+            start.start()
+            end.start()
+        report = read_report(load)
+        time.sleep(0.5)
+        return judge(report, phases, trigger, deep_calls(fleet) - earlier)
+
+
+def warm_up(fleet, seed):
+    """Send some load first, so that limits have been learned."""
+    plan = build_plan(fleet, 'none', seed + 1, (4, 0, 0))
+    fleet.send(plan)
+
+
+def slow(fleet, factor):
+    """Slow the deepest service by a factor."""
+    for name in ('yard-1', 'yard-2'):
+        fleet.slow_down(name, factor)
+
+
+def deep_calls(fleet):
+    """Return how many calls reached the deepest service."""
+    return sum(fleet.counts(name)['calls'] for name in ('yard-1', 'yard-2'))
+
+
+def judge(report, phases, trigger, calls_below):
+    """Return the figures of one run."""
+    before, during, after = phases
+    rows = report['outcomes']
+    end = before + during
+    rate_before = count_good(rows, 1, before) / (before - 1)
+    good = count_good(rows, before + 1, end) / (during - 1)
+    capacity = 2 * DEEP_SLOTS / DEEP_MS * 1000
+    if trigger in {'slow', 'retries'}:
+        capacity /= 5
+    offered = count_all(rows, before + 1, end) / (during - 1)
+    whole = sum(is_good for _, _, is_good in rows)
+    return {
+        'goodput_before': round(rate_before, 1),
+        'goodput': round(good, 1),
+        'goodput_ratio': round(good / min(capacity, offered), 3),
+        'recovery_s': find_recovery(rows, end, end + after),
+        'worst_customer': worst_share(rows, before + 1, end, trigger),
+        'worst_customer_after': worst_share(rows, end + 3, end + after, ''),
+        'amplification': round(calls_below / len(rows), 3),
+        'wasted_work': round(1 - whole / max(1, calls_below), 3),
+        'refused': report['refused'],
+    }
+
+
+def count_good(rows, start, end):
+    """Return the requests due in a time that were answered in time."""
+    return sum(good for at, _, good in rows if start <= at < end)
+
+
+def count_all(rows, start, end):
+    """Return the requests due in a time."""
+    return sum(start <= at < end for at, _, _ in rows)
+
+
+def find_recovery(rows, start, end):
+    """Return the seconds until 95 % of the requests of a second are good."""
+    at = start
+    while at + 1 <= end:
+        total = count_all(rows, at, at + 1)
+        if total and count_good(rows, at, at + 1) >= 0.95 * total:
+            return round(at - start, 2)
+        at += 0.1
+    return None
+
+
+def worst_share(rows, start, end, trigger):
+    """Return the share served of the customer that fared worst."""
+    shares = []
+    for name, _, _ in CUSTOMERS:
+        if trigger == 'greedy' and name == 'large-1':
+            continue
+        own = [row for row in rows if row[1] == name]
+        total = count_all(own, start, end)
+        if total:
+            shares.append(count_good(own, start, end) / total)
+    return round(min(shares, default=0), 3)
+
+
+def main():
+    """Print a line for each run and a summary as the last."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--trigger', action='append', default=[])
+    parser.add_argument('--side', action='append', default=[])
+    options = parser.parse_args()
+    quick = bool(os.environ.get('QUICK'))
+    triggers = options.trigger or (('slow',) if quick else TRIGGERS)
+    phases = (4, 5, 5) if quick else (6, 10, 12)
+    results = {}
+    for trigger in triggers:
+        for side in options.side or SIDES:
+            figures = run_side(side, trigger, options.seed, phases)
+            print(
+                json.dumps({'trigger': trigger, 'side': side, **figures}),
+                flush=True,
+            )
+            results.setdefault(trigger, {})[side] = figures
+    print(
+        json.dumps(
+            {
+                'bench': 'overload',
+                'seed': options.seed,
+                'results': results,
+            }
+        ),
+    )
+
+
+if __name__ == '__main__':
+    main()
--- a/limpetshore/guard.py
+++ b/limpetshore/guard.py
@@ -81,7 +81,7 @@
             ConcurrencyLimit(
                 1,
                 initial_share=admission.initial_share,
-                tolerance=admission.latency_tolerance,
+                probe_s=admission.probe_s,
             ),
             queue_per_slot=admission.queue_per_slot,
             max_wait_s=admission.max_wait_s,
@@ -105,7 +105,7 @@
             self.admission.limit = ConcurrencyLimit(
                 slots,
                 initial_share=self.settings.admission.initial_share,
-                tolerance=limit.tolerance,
+                probe_s=limit.probe_s,
             )
         else:
             limit.resize(self.backend.slots)
--- a/limpetshore/settings.py
+++ b/limpetshore/settings.py
@@ -84,7 +84,7 @@
     queue_per_slot: Annotated[float, msgspec.Meta(ge=0, le=100)] = 1
     max_wait_s: Seconds = 0.5
     initial_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.2
-    latency_tolerance: Annotated[float, msgspec.Meta(gt=1, le=100)] = 3
+    probe_s: Seconds = 5
     level_half_life_s: Seconds = 0.5
     retry_tokens: Annotated[float, msgspec.Meta(ge=0, le=10000)] = 20
     retry_earning: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
@@ -170,8 +170,8 @@
     'admission.queue_per_slot': 'Waiting requests allowed for each slot',
     'admission.max_wait_s': 'Seconds a request may wait for a slot',
     'admission.initial_share': 'Share of the slots used after a cold start',
-    'admission.latency_tolerance': (
-        'Factor over the usual latency at which the limit is lowered'
+    'admission.probe_s': (
+        'Seconds between two changes of the limit that try for a better one'
     ),
     'admission.level_half_life_s': (
         'Seconds until a reported admission level counts half'
--- a/standins/load_sender.py
+++ b/standins/load_sender.py
@@ -25,6 +25,8 @@
         self.not_run_ids = []
         self.whole_ids = []
         self.events = []
+        self.outcomes = []
+        self.started = time.monotonic()
 
     def report(self):
         """Return the figures."""
@@ -56,16 +58,20 @@
 
     The plan: `targets` (addresses), `rate`, `seconds`, `seed`, `path`,
     `headers`, `size`, `timeout_s`, `ids` (send a request id with each call),
-    `move_s` (send all to one target, the next one after so many seconds).
+    `move_s` (send all to one target, the next one after so many seconds),
+    `callers` (rows of name, key and weight, one drawn for each call),
+    `tries` (send again at once after a failure), `surges` (rows of start,
+    end and factor on the rate), all times in seconds from the start.
     """
     chance = random.Random(plan.get('seed', 1))
     pools = [HttpPool(parse_address(target), 20) for target in plan['targets']]
     tally = Tally()
-    end = time.monotonic() + plan['seconds']
-    due = time.monotonic()
+    started = time.monotonic()
+    end = started + plan['seconds']
+    due = started
     async with anyio.create_task_group() as tasks:
         while True:
-            due += chance.expovariate(plan['rate'])
+            due += chance.expovariate(rate_at(plan, due - started))
             if due > end:
                 break
             await anyio.sleep(max(0, due - time.monotonic()))
@@ -74,14 +80,18 @@
             if plan.get('move_s'):
                 turn = int(time.monotonic() / plan['move_s'])
                 pool = pools[turn % len(pools)]
+            caller = draw_caller(plan, chance, due - started)
             tasks.start_soon(
-                send_one,
+                send_until_whole,
                 pool,
                 plan,
                 tally,
                 due,
+                caller,
             )
     report = tally.report()
+    if 'deadline_s' in plan:
+        report['outcomes'] = tally.outcomes
     if plan.get('keep_ids'):
         report['not_run_ids'] = tally.not_run_ids
         report['whole_ids'] = tally.whole_ids
@@ -89,7 +99,45 @@
     return report
 
 
-async def send_one(pool, plan, tally, due):
+def rate_at(plan, second):
+    """Return the rate at a time of the plan."""
+    rate = plan['rate']
+    for start, end, factor in plan.get('surges', ()):
+        if start <= second < end:
+            rate *= factor
+    return rate
+
+
+def draw_caller(plan, chance, second):
+    """Return name and key of the caller of the next call."""
+    rows = plan.get('callers')
+    if not rows:
+        return None
+    weights = [row[2] for row in rows]
+    for start, end, name, factor in plan.get('greed', ()):
+        if start <= second < end:
+            weights = [
+                weight * (factor if row[0] == name else 1)
+                for row, weight in zip(rows, weights, strict=True)
+            ]
+    return chance.choices(rows, weights)[0]
+
+
+async def send_until_whole(pool, plan, tally, due, caller):
+    """Send one call, again at once while it fails and tries are left."""
+    whole_before = None
+    for _ in range(plan.get('tries', 1)):
+        whole_before = await send_one(pool, plan, tally, due, caller)
+        if whole_before:
+            break
+    took = time.monotonic() - due
+    if 'deadline_s' in plan:
+        is_good = bool(whole_before) and took <= plan['deadline_s']
+        name = caller[0] if caller else ''
+        tally.outcomes.append((due - tally.started, name, is_good))
+
+
+async def send_one(pool, plan, tally, due, caller):
     """Send one call and judge its answer; latency counts from its due time."""
     number = tally.sent
     echo = f'{plan.get("seed", 1)}-{number}-{random.getrandbits(40):x}'
@@ -97,6 +145,8 @@
     headers = [(b'host', b'limpetshore'), (b'x-echo', echo.encode())]
     for name, value in plan.get('headers', {}).items():
         headers.append((name.encode(), value.encode()))
+    if caller:
+        headers.append((b'authorization', f'Bearer {caller[1]}'.encode()))
     if plan.get('size'):
         headers.append((b'x-size', str(plan['size']).encode()))
     if plan.get('ids'):
@@ -120,7 +170,7 @@
         tally.broken += 1
         kind = type(error).__name__
         tally.refused[kind] = tally.refused.get(kind, 0) + 1
-        return
+        return False
     finally:
         if connection:
             pool.release(connection)
@@ -134,6 +184,7 @@
         tally.events.append((asked_at, time.time(), 'refused'))
     judge(head, content, echo, request_id, tally, plan)
     tally.latencies_ms.append((time.monotonic() - due) * 1000)
+    return head.status == 200
 
 
 def judge(head, content, echo, request_id, tally, plan):
