--- a/limpetshore/gossip.py
+++ b/limpetshore/gossip.py
@@ -46,7 +46,9 @@
         self.client = client
         self.settings = settings
         self.chance = chance
-        self.full_exchange_at: float = 0
+        self.differs_since: float | None = None
+        self.peers: list[str] = []
+        self.peers_version = -1
         self.push_wanted = anyio.Event()
         self.newer_at: set[str] = set()
 
@@ -76,7 +78,15 @@
                 await self.exchange_with(address)
 
     def find_peers(self) -> list[str]:
-        """Return the control addresses this node exchanges with.
+        """Return the control addresses this node exchanges with."""
+        version = self.fleet.table.version
+        if version != self.peers_version:
+            self.peers_version = version
+            self.peers = self.choose_peers()
+        return self.peers
+
+    def choose_peers(self) -> list[str]:
+        """Choose anew whom to exchange with.
 
         Half are the next in the ring of the own zone, half anywhere; the
         ring makes sure that every node is somebody's peer.
@@ -133,12 +143,23 @@
             self.fleet.merge(state)
         if self.fleet.is_behind(reply.digest):
             await self.fetch_newer(address, reply.digest)
-        own_hash = self.fleet.table.members_hash
-        is_due = clock.now() >= self.full_exchange_at
-        if reply.digest.members_hash != own_hash and is_due:
-            self.full_exchange_at = clock.now() + FULL_EXCHANGE_S
+        if self.differs_for(reply.digest) >= FULL_EXCHANGE_S:
+            self.differs_since = None
             await self.exchange_all(address)
 
+    def differs_for(self, digest: Digest) -> float:
+        """Return for how many seconds no peer has had the same members.
+
+        News on its way makes tables differ for a moment; only a difference
+        that stays is worth sending whole tables.
+        """
+        if digest.members_hash == self.fleet.table.members_hash:
+            self.differs_since = None
+            return 0
+        if self.differs_since is None:
+            self.differs_since = clock.now()
+        return clock.now() - self.differs_since
+
     async def exchange_all(self, address: str) -> None:
         """Compare whole member tables, since they have come to differ."""
         request = Exchange(
--- a/limpetshore/shards.py
+++ b/limpetshore/shards.py
@@ -8,6 +8,9 @@
 from limpetshore.standing import Standing
 
 
+BURST_PER_SHARD = 8
+
+
 class HeldShard:
     """Hold one shard and the buckets in it.
 
@@ -97,8 +100,11 @@
                     bucket.change(record.rate / count, record.burst / count)
 
     def count_shards(self, burst: int) -> int:
-        """Return how many shards share a burst, at least one token each."""
-        return max(1, min(self.shards_per_customer, burst))
+        """Return how many shards share a burst; few for a small one.
+
+        A bucket of few tokens loses what accrues while it is full.
+        """
+        return max(1, min(self.shards_per_customer, burst // BURST_PER_SHARD))
 
     def find_shards(self, customer: str) -> list[int]:
         """Return the shards of a customer in force."""
