Count and log calls that end by a defect

Cause, by reading: the server logs an exception of the application at a level that is switched off, so a broken invariant inside a call left no trace, and the counter meant for it was never raised. The fault tests looked for tracebacks that could not appear.

Now each role counts such calls (limpetshore_defects_total) and logs them with their traceback.

--- a/limpetshore/ingress.py
+++ b/limpetshore/ingress.py
@@ -99,7 +99,8 @@
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
         handling = Handling(self, scope, receive, send)
-        await handling.run()
+        with self.metrics.report_defects('ingress'):
+            await handling.run()
 
     def pool(self, address: str) -> HttpPool:
         """Return the connections to another node."""
--- a/limpetshore/metrics.py
+++ b/limpetshore/metrics.py
@@ -1,7 +1,10 @@
 """Count what a process does, for Prometheus."""
 
+import contextlib
 import itertools
+from collections.abc import Iterator
 
+from logbook import Logger
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -13,6 +16,8 @@
 
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
+logger = Logger(__name__)
+
 ROLES = ('ingress', 'guard')
 REFUSING_VERDICTS = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN)
 LATENCY_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1, 5)
@@ -81,10 +86,10 @@
             ('kind', 'outcome'),
             registry=registry,
         )
-        self.violations = Counter(
-            'limpetshore_invariant_violations',
-            'Invariants found broken, by name; always a defect',
-            ('invariant',),
+        self.defects = Counter(
+            'limpetshore_defects',
+            'Calls ended by a broken invariant or an unforeseen error, by role',
+            ('role',),
             registry=registry,
         )
         self.config_version = Gauge(
@@ -126,6 +131,16 @@
             reason: self.retries.labels(reason.value) for reason in Reason
         }
 
+    @contextlib.contextmanager
+    def report_defects(self, role: str) -> Iterator[None]:
+        """Count and log what no call should end with."""
+        try:
+            yield
+        except Exception:
+            self.defects.labels(role).inc()
+            logger.exception('a call ended by a defect')
+            raise
+
     def count_refusal(self, role: str, refusal: Refusal) -> None:
         """Count one refusal."""
         labels = (role, refusal.reason, refusal.verdict)
--- a/limpetshore/peers.py
+++ b/limpetshore/peers.py
@@ -82,7 +82,8 @@
             self.guard.metrics.bad_input.labels('peer_call').inc()
             await send_refusal(sender, error.refusal, '')
             return
-        await self.serve(scope, receive, sender, meta)
+        with self.guard.metrics.report_defects('guard'):
+            await self.serve(scope, receive, sender, meta)
 
     async def serve(
         self,
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,26 @@
+"""Test that nothing a call should not end with stays unseen."""
+
+import pytest
+
+from limpetshore.metrics import Metrics
+from limpetshore.verdicts import Reason, Refusal, Verdict
+
+
+def test_broken_invariant_is_counted_and_raised():
+    """Count an error that uvicorn would swallow."""
+    metrics = Metrics()
+    with pytest.raises(AssertionError), metrics.report_defects('guard'):
+        raise AssertionError('more slots given back than taken')
+    assert b'limpetshore_defects_total{role="guard"} 1.0' in metrics.expose()
+
+
+@pytest.mark.parametrize('reason', list(Reason))
+def test_every_refusal_has_a_counter(reason):
+    """Count each reason with its verdict."""
+    metrics = Metrics()
+    metrics.count_refusal('ingress', Refusal(reason, Verdict.NOT_RUN))
+    line = (
+        'limpetshore_refusals_total{reason="%s",role="ingress",'
+        'verdict="not-run"} 1.0' % reason.value
+    )
+    assert line.encode() in metrics.expose()
