--- a/limpetshore/backends.py
+++ b/limpetshore/backends.py
@@ -6,12 +6,8 @@
 
 from limpetshore import clock
 from limpetshore.checks import build_record
-from limpetshore.httpclient import Headers
-from limpetshore.messages import take_header
 
-SHED_STATUS = 503
 MAX_BOOT_LENGTH = 64
-SHED_HEADER = b'x-shed'
 
 
 class Announcement(NamedTuple):
@@ -22,6 +18,7 @@
     boot: Annotated[
         str, msgspec.Meta(min_length=1, max_length=MAX_BOOT_LENGTH)
     ] = 'first'
+    instance: str = ''
 
 
 class LocalBackend:
@@ -48,6 +45,11 @@
             return 1
         return min(self.announcement.slots, self.max_slots)
 
+    @property
+    def instance(self) -> str:
+        """Return the id the server gave itself, empty if it gave none."""
+        return self.announcement.instance if self.announcement else ''
+
     @property
     def is_ready(self) -> bool:
         """Tell whether the server may be given new work."""
@@ -67,12 +69,3 @@
         return None, [f'not JSON: {error}']
     record = build_record(Announcement, table, 'announcement', mistakes)
     return record, mistakes
-
-
-def is_shed(status: int, headers: Headers) -> bool:
-    """Tell whether a backend server refused a request before running it.
-
-    >>> is_shed(503, [(b'x-shed', b'1')])
-    True
-    """
-    return status == SHED_STATUS and take_header(headers, SHED_HEADER) == b'1'
--- a/limpetshore/bodies.py
+++ b/limpetshore/bodies.py
@@ -4,19 +4,13 @@
 from typing import Any
 
 import anyio
-import msgspec
 
+from limpetshore.dialects import RenderedRefusal
 from limpetshore.errors import LimpetshoreError, refuse
 from limpetshore.httpclient import Headers
 from limpetshore.httpserver import find_connection
-from limpetshore.messages import (
-    REASON_HEADER,
-    REQUEST_ID_HEADER,
-    VERDICT_HEADER,
-    take_header,
-)
-from limpetshore.verdicts import Reason, Refusal
-
+from limpetshore.messages import take_header
+from limpetshore.verdicts import Reason
 
 LAST_PIECE = {'type': 'http.response.body', 'body': b''}
 
@@ -131,29 +125,9 @@
 
 async def send_refusal(
     sender: AnswerSender,
-    refusal: Refusal,
-    request_id: str,
+    rendered: RenderedRefusal,
     extra: Headers | None = None,
 ) -> None:
-    """Send a refusal with its verdict in headers and body."""
-    body = msgspec.json.encode(
-        {
-            'verdict': refusal.verdict.value,
-            'reason': refusal.reason.value,
-            'retry_after_s': round(refusal.retry_after, 3),
-            'request_id': request_id,
-            'detail': refusal.detail,
-        }
-    )
-    headers = [
-        (b'content-type', b'application/json'),
-        (b'content-length', b'%d' % len(body)),
-        (VERDICT_HEADER, refusal.verdict.value.encode()),
-        (REASON_HEADER, refusal.reason.value.encode()),
-        (REQUEST_ID_HEADER, request_id.encode()),
-        *(extra or []),
-    ]
-    if refusal.retry_after:
-        seconds = max(1, round(refusal.retry_after))
-        headers.append((b'retry-after', b'%d' % seconds))
-    await sender.send_whole(refusal.status, headers, body)
+    """Send a refusal as its reader understands it."""
+    headers = [*rendered.headers, *(extra or [])]
+    await sender.send_whole(rendered.status, headers, rendered.body)
--- a/limpetshore/callers.py
+++ b/limpetshore/callers.py
@@ -1,42 +1,19 @@
 """Find out on whose behalf a request comes."""
 
-import secrets
 from typing import Any, NamedTuple
 
 from limpetshore import clock
 from limpetshore.budgets import RetryBudget
 from limpetshore.calls import CallContext, RunningCall
+from limpetshore.dialects import CallerDialect
 from limpetshore.errors import refuse
 from limpetshore.guard import Guard
-from limpetshore.httpclient import Headers
-from limpetshore.messages import (
-    REQUEST_ID_HEADER,
-    TIMEOUT_HEADER,
-    TOKEN_HEADER,
-    take_header,
-)
 from limpetshore.policies import PolicyIndex, RouteMatch
 from limpetshore.purses import Purses
 from limpetshore.standing import Standing
 from limpetshore.verdicts import Reason
 
-AUTHORIZATION = b'authorization'
-BEARER = b'bearer '
-API_KEY_HEADER = b'x-api-key'
-CALLER_HEADERS_DROPPED = frozenset(
-    (
-        AUTHORIZATION,
-        API_KEY_HEADER,
-        REQUEST_ID_HEADER,
-        TIMEOUT_HEADER,
-        b'content-length',
-    )
-)
 ANONYMOUS = ''
-MS_IN_S = 1000
-ID_BYTES = 9
-MAX_REQUEST_ID_LENGTH = 128
-MAX_KEY_LENGTH = 512
 
 
 class Origin(NamedTuple):
@@ -47,13 +24,6 @@
     parent: RunningCall | None
 
 
-class RequestName(NamedTuple):
-    """Hold the id of a request and who chose it."""
-
-    text: str
-    is_from_caller: bool
-
-
 class Callers:
     """Tell callers apart by key, and nested calls by the token they carry."""
 
@@ -63,8 +33,10 @@
         standing: Standing,
         purses: Purses,
         max_depth: int,
+        dialect: CallerDialect,
     ) -> None:
         """Use the running calls of the guard and the purses of customers."""
+        self.dialect = dialect
         self.guard = guard
         self.standing = standing
         self.purses = purses
@@ -79,8 +51,11 @@
     ) -> Origin:
         """Return the origin of a request, or refuse it."""
         headers = scope['headers']
-        deadline = clock.now() + read_timeout(headers, match)
-        token = take_header(headers, TOKEN_HEADER)
+        timeout_s = self.dialect.read_timeout_s(headers)
+        if timeout_s is None:
+            timeout_s = match.route.timeout_s
+        deadline = clock.now() + min(timeout_s, match.route.timeout_s)
+        token = self.dialect.read_token(headers)
         if token is not None:
             return self.inherit(token, scope, deadline)
         customer = self.authenticate(scope, index, match)
@@ -91,9 +66,9 @@
         context = CallContext(customer, importance, deadline, request_id, 0)
         return Origin(context, RetryBudget(match.route.retries), None)
 
-    def inherit(self, token: bytes, scope: Any, deadline: float) -> Origin:
+    def inherit(self, token: str, scope: Any, deadline: float) -> Origin:
         """Return the origin of a nested call from the local server."""
-        parent = self.guard.running.find(token.decode('latin-1'))
+        parent = self.guard.running.find(token)
         is_local = scope['client'][0] == self.guard.calls_from
         if parent is None or not is_local:
             raise refuse(
@@ -116,7 +91,7 @@
         match: RouteMatch,
     ) -> str:
         """Return the customer whose key came with the request."""
-        key = read_key(scope['headers'])
+        key = self.dialect.read_key(scope['headers'])
         if key is not None and key.encode('latin-1') in scope['raw_path']:
             raise refuse(Reason.BAD_REQUEST, 'the key stands in the path')
         if match.route.is_open:
@@ -131,44 +106,3 @@
         if not index.is_allowed(match, customer):
             raise refuse(Reason.FORBIDDEN, f'{customer} may not use the route')
         return customer
-
-
-def read_key(headers: Headers) -> str | None:
-    """Return the caller's key, if it sent one.
-
-    >>> read_key([(b'authorization', b'Bearer ls_1')])
-    'ls_1'
-    """
-    bearer = take_header(headers, AUTHORIZATION)
-    if bearer is not None and bearer[: len(BEARER)].lower() == BEARER:
-        key = bearer[len(BEARER) :].strip()
-    else:
-        key = take_header(headers, API_KEY_HEADER)
-    if not key:
-        return None
-    if len(key) > MAX_KEY_LENGTH:
-        raise refuse(Reason.KEY_UNKNOWN, 'no key is that long')
-    return key.decode('latin-1')
-
-
-def read_timeout(headers: Headers, match: RouteMatch) -> float:
-    """Return the seconds a request may take."""
-    given = take_header(headers, TIMEOUT_HEADER)
-    if given is None:
-        return match.route.timeout_s
-    if not given.isdigit() or len(given) > ID_BYTES or not int(given):
-        raise refuse(Reason.BAD_REQUEST, 'the timeout is no number of ms')
-    return min(match.route.timeout_s, int(given) / MS_IN_S)
-
-
-def read_request_name(headers: Headers) -> RequestName:
-    """Return the caller's request id, or mint one."""
-    given = take_header(headers, REQUEST_ID_HEADER)
-    if given is None:
-        birth = int(clock.wall_time() * MS_IN_S)
-        minted = f'{birth}-{secrets.token_hex(ID_BYTES)}'
-        return RequestName(minted, is_from_caller=False)
-    is_plain = given.isascii() and given.decode('latin-1').isprintable()
-    if not is_plain or not 0 < len(given) <= MAX_REQUEST_ID_LENGTH:
-        raise refuse(Reason.REQUEST_ID, 'the id is empty, too long or not text')
-    return RequestName(given.decode(), is_from_caller=True)
--- /dev/null
+++ b/limpetshore/dialects.py
@@ -0,0 +1,244 @@
+"""Say how callers and backend servers spell what the product exchanges."""
+
+import secrets
+from abc import ABC, abstractmethod
+from typing import NamedTuple
+
+import msgspec
+
+from limpetshore import clock
+from limpetshore.errors import refuse
+from limpetshore.httpclient import Headers, ResponseHead
+from limpetshore.messages import (
+    CUSTOMER_HEADER,
+    REASON_HEADER,
+    REQUEST_ID_HEADER,
+    TIMEOUT_HEADER,
+    TOKEN_HEADER,
+    VERDICT_HEADER,
+    take_header,
+)
+from limpetshore.verdicts import Reason, Refusal
+
+AUTHORIZATION = b'authorization'
+BEARER = b'bearer '
+API_KEY_HEADER = b'x-api-key'
+SHED_HEADER = b'x-shed'
+SHED_STATUS = 503
+MS_IN_S = 1000
+ID_BYTES = 9
+MAX_REQUEST_ID_LENGTH = 128
+MAX_KEY_LENGTH = 512
+
+
+class RequestName(NamedTuple):
+    """Hold the id of a request and whether the caller may send it again."""
+
+    text: str
+    is_from_caller: bool
+
+
+class RenderedRefusal(NamedTuple):
+    """Hold a refusal as a caller reads it."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class ServerCall(NamedTuple):
+    """Hold what a backend server is told; `left_s` is until the deadline."""
+
+    request_id: str
+    customer: str
+    caller_service: str
+    token: str
+    left_s: float
+
+
+class CallerDialect(ABC):
+    """Read requests of callers and write what answers them."""
+
+    dropped_headers: frozenset[bytes]
+
+    @abstractmethod
+    def read_name(self, headers: Headers) -> RequestName:
+        """Return the caller's request id, or mint one."""
+
+    @abstractmethod
+    def read_key(self, headers: Headers) -> str | None:
+        """Return the caller's key, if it sent one."""
+
+    @abstractmethod
+    def read_timeout_s(self, headers: Headers) -> float | None:
+        """Return the seconds the caller will wait, if it says so."""
+
+    @abstractmethod
+    def read_token(self, headers: Headers) -> str | None:
+        """Return the token of the call that this one is nested in."""
+
+    @abstractmethod
+    def mark_answer(self, request_id: str) -> Headers:
+        """Return the headers added to each answer of a backend server."""
+
+    @abstractmethod
+    def render(self, refusal: Refusal, request_id: str) -> RenderedRefusal:
+        """Return a refusal as the caller reads it."""
+
+
+class BackendDialect(ABC):
+    """Write what a backend server is told and read what its answers say."""
+
+    @abstractmethod
+    def build_headers(self, call: ServerCall, instance: str) -> Headers:
+        """Return the headers for a server of the given instance id."""
+
+    @abstractmethod
+    def find_shed(self, head: ResponseHead) -> Reason | None:
+        """Return why the server did not run a request, None if it did."""
+
+    @abstractmethod
+    def is_stray(self, head: ResponseHead, request_id: str) -> bool:
+        """Tell whether an answer belongs to an earlier request."""
+
+    @abstractmethod
+    def find_flaw(self, head: ResponseHead, request_id: str) -> str:
+        """Return why an answer must not reach the caller, empty if it may."""
+
+
+class OwnCallerDialect(CallerDialect):
+    """Speak the product's own interface with callers."""
+
+    dropped_headers = frozenset(
+        (
+            AUTHORIZATION,
+            API_KEY_HEADER,
+            REQUEST_ID_HEADER,
+            TIMEOUT_HEADER,
+            b'content-length',
+        )
+    )
+
+    def read_name(self, headers: Headers) -> RequestName:
+        """Return the caller's request id, or mint one."""
+        given = take_header(headers, REQUEST_ID_HEADER)
+        if given is None:
+            birth = int(clock.wall_time() * MS_IN_S)
+            minted = f'{birth}-{secrets.token_hex(ID_BYTES)}'
+            return RequestName(minted, is_from_caller=False)
+        return RequestName(decode_request_id(given), is_from_caller=True)
+
+    def read_key(self, headers: Headers) -> str | None:
+        """Return the caller's key, if it sent one."""
+        key = read_bearer(headers) or take_header(headers, API_KEY_HEADER)
+        return decode_key(key) if key else None
+
+    def read_timeout_s(self, headers: Headers) -> float | None:
+        """Return the seconds the caller will wait, if it says so."""
+        return read_timeout(headers, TIMEOUT_HEADER)
+
+    def read_token(self, headers: Headers) -> str | None:
+        """Return the token of the call that this one is nested in."""
+        token = take_header(headers, TOKEN_HEADER)
+        return None if token is None else token.decode('latin-1')
+
+    def mark_answer(self, request_id: str) -> Headers:
+        """Return the request id, which the caller may not have chosen."""
+        return [(REQUEST_ID_HEADER, request_id.encode('latin-1'))]
+
+    def render(self, refusal: Refusal, request_id: str) -> RenderedRefusal:
+        """Return a refusal with its verdict in headers and body."""
+        body = msgspec.json.encode(
+            {
+                'verdict': refusal.verdict.value,
+                'reason': refusal.reason.value,
+                'retry_after_s': round(refusal.retry_after, 3),
+                'request_id': request_id,
+                'detail': refusal.detail,
+            }
+        )
+        headers = [
+            (b'content-type', b'application/json'),
+            (b'content-length', b'%d' % len(body)),
+            (VERDICT_HEADER, refusal.verdict.value.encode()),
+            (REASON_HEADER, refusal.reason.value.encode()),
+            (REQUEST_ID_HEADER, request_id.encode()),
+        ]
+        if refusal.retry_after:
+            seconds = max(1, round(refusal.retry_after))
+            headers.append((b'retry-after', b'%d' % seconds))
+        return RenderedRefusal(refusal.status, headers, body)
+
+
+class OwnBackendDialect(BackendDialect):
+    """Speak the product's own interface with backend servers."""
+
+    def build_headers(self, call: ServerCall, instance: str) -> Headers:
+        """Return token, customer, request id and what is left of the time."""
+        left_ms = int(call.left_s * MS_IN_S)
+        return [
+            (TOKEN_HEADER, call.token.encode()),
+            (CUSTOMER_HEADER, call.customer.encode()),
+            (REQUEST_ID_HEADER, call.request_id.encode()),
+            (TIMEOUT_HEADER, b'%d' % max(1, left_ms)),
+        ]
+
+    def find_shed(self, head: ResponseHead) -> Reason | None:
+        """Return the reason if the server refused before running.
+
+        >>> OwnBackendDialect().find_shed(ResponseHead(503, [(b'x-shed', b'1')]))
+        <Reason.SERVER_SHED: 'server_shed'>
+        """
+        is_marked = take_header(head.headers, SHED_HEADER) == b'1'
+        if head.status == SHED_STATUS and is_marked:
+            return Reason.SERVER_SHED
+        return None
+
+    def is_stray(self, head: ResponseHead, request_id: str) -> bool:
+        """Tell nothing: answers of these servers carry no id."""
+        return False
+
+    def find_flaw(self, head: ResponseHead, request_id: str) -> str:
+        """Accept every answer: a connection carries one call at a time."""
+        return ''
+
+
+def read_bearer(headers: Headers) -> bytes | None:
+    """Return the bearer token of a request.
+
+    >>> read_bearer([(b'authorization', b'Bearer ls_1')])
+    b'ls_1'
+    """
+    bearer = take_header(headers, AUTHORIZATION)
+    if bearer is None or bearer[: len(BEARER)].lower() != BEARER:
+        return None
+    return bearer[len(BEARER) :].strip()
+
+
+def decode_key(key: bytes) -> str:
+    """Return a key as text, or refuse one that cannot be right."""
+    if len(key) > MAX_KEY_LENGTH:
+        raise refuse(Reason.KEY_UNKNOWN, 'no key is that long')
+    return key.decode('latin-1')
+
+
+def read_timeout(headers: Headers, name: bytes) -> float | None:
+    """Return the seconds that a header gives in milliseconds.
+
+    >>> read_timeout([(b'wait', b'250')], b'wait')
+    0.25
+    """
+    given = take_header(headers, name)
+    if given is None:
+        return None
+    if not given.isdigit() or len(given) > ID_BYTES or not int(given):
+        raise refuse(Reason.BAD_REQUEST, 'the timeout is no number of ms')
+    return int(given) / MS_IN_S
+
+
+def decode_request_id(given: bytes) -> str:
+    """Return a request id as text, or refuse one that is unfit."""
+    is_plain = given.isascii() and given.decode('latin-1').isprintable()
+    if not is_plain or not 0 < len(given) <= MAX_REQUEST_ID_LENGTH:
+        raise refuse(Reason.REQUEST_ID, 'the id is empty, too long or not text')
+    return given.decode()
--- a/limpetshore/errors.py
+++ b/limpetshore/errors.py
@@ -37,6 +37,10 @@
     """Report a conditional update whose expected version was stale."""
 
 
+class StoreHistoryError(StoreError):
+    """Report that the store has forgotten the changes asked for."""
+
+
 class TransportError(LimpetshoreError):
     """Base the failures of one HTTP exchange."""
 
--- a/limpetshore/exchanges.py
+++ b/limpetshore/exchanges.py
@@ -88,6 +88,7 @@
         )
         return
     await connection.send_head(request.method, request.target, headers)
+    connection.is_request_sent = False
     request.tasks.start_soon(pump_body, connection, request)
 
 
@@ -114,6 +115,7 @@
             await send_piece(connection, piece, is_chunked=is_chunked)
         if is_chunked:
             await connection.send(b'0\r\n\r\n')
+        connection.is_request_sent = True
     except CallerGoneError:
         request.tasks.cancel_scope.cancel()
     except LimpetshoreError:
--- a/limpetshore/guard.py
+++ b/limpetshore/guard.py
@@ -2,13 +2,14 @@
 
 from limpetshore import clock
 from limpetshore.admission import Admission
-from limpetshore.backends import LocalBackend, is_shed
+from limpetshore.backends import LocalBackend
 from limpetshore.calls import (
     ArrivalLog,
     CallContext,
     RunningCall,
     RunningCalls,
 )
+from limpetshore.dialects import BackendDialect, ServerCall
 from limpetshore.errors import (
     BrokenError,
     ConnectError,
@@ -25,13 +26,14 @@
     read_head_by,
     send_request,
 )
-from limpetshore.httpclient import Headers, HttpConnection, HttpPool
+from limpetshore.httpclient import (
+    Headers,
+    HttpConnection,
+    HttpPool,
+    ResponseHead,
+)
 from limpetshore.limits import ConcurrencyLimit
 from limpetshore.messages import (
-    CUSTOMER_HEADER,
-    REQUEST_ID_HEADER,
-    TIMEOUT_HEADER,
-    TOKEN_HEADER,
     AnswerMeta,
     CallMeta,
     ProbeReply,
@@ -44,7 +46,7 @@
 from limpetshore.standing import Standing
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
-MS_IN_S = 1000
+MOST_STRAY_ANSWERS = 3
 FRESH_IDLE_S = 0.5
 
 
@@ -56,8 +58,10 @@
         settings: NodeSettings,
         metrics: Metrics,
         standing: Standing,
+        dialect: BackendDialect,
     ) -> None:
         """Start without a backend server."""
+        self.dialect = dialect
         self.settings = settings
         self.metrics = metrics
         self.standing = standing
@@ -174,6 +178,8 @@
         guard = self.guard
         if not guard.arrivals.admit(meta.call_id):
             raise refuse(Reason.SILENT, 'the call came after it was given up')
+        if meta.service != guard.settings.backend.service:
+            raise refuse(Reason.NOT_OWNER, 'another service runs here')
         if not guard.accepts_work:
             raise refuse(Reason.DRAINING, 'the server takes no new work')
 
@@ -234,21 +240,40 @@
         self.started = clock.now()
         try:
             await send_request(connection, request, self.add_headers(request))
-            head = await read_head_by(connection, request.deadline)
+            head = await self.read_own_head(connection, request)
         except (BrokenError, TruncatedError) as error:
             raise refuse(
                 Reason.BROKEN,
                 str(error),
                 verdict=Verdict.MAY_HAVE_RUN,
             ) from error
-        if is_shed(head.status, head.headers):
+        shed = self.guard.dialect.find_shed(head)
+        if shed is not None:
             self.guard.admission.limit.observe_shed()
             self.release_id(request.meta)
-            raise refuse(Reason.SERVER_SHED, 'the server shed the request')
+            raise refuse(shed, 'the server did not run the request')
         described = self.guard.describe_answer(call=self.call)
         self.call.budget.close()
         return Answer(head, described)
 
+    async def read_own_head(
+        self,
+        connection: HttpConnection,
+        request: OutboundRequest,
+    ) -> ResponseHead:
+        """Return the head of the answer, past answers to earlier requests."""
+        dialect = self.guard.dialect
+        request_id = request.meta.request_id
+        for _ in range(MOST_STRAY_ANSWERS):
+            head = await read_head_by(connection, request.deadline)
+            if not dialect.is_stray(head, request_id):
+                break
+            await connection.skip_answer()
+        flaw = dialect.find_flaw(head, request_id)
+        if flaw:
+            raise BrokenError(flaw)
+        return head
+
     def start_call(self, request: OutboundRequest) -> None:
         """Let the server make nested calls on behalf of this one."""
         meta = request.meta
@@ -265,14 +290,16 @@
     def add_headers(self, request: OutboundRequest) -> Headers:
         """Return the headers for the server."""
         meta = request.meta
-        left_ms = int((request.deadline - clock.now()) * MS_IN_S)
-        return [
-            *request.headers,
-            (TOKEN_HEADER, self.token.encode()),
-            (CUSTOMER_HEADER, meta.customer.encode()),
-            (REQUEST_ID_HEADER, meta.request_id.encode()),
-            (TIMEOUT_HEADER, b'%d' % max(1, left_ms)),
-        ]
+        call = ServerCall(
+            meta.request_id,
+            meta.customer,
+            meta.caller_service,
+            self.token,
+            request.deadline - clock.now(),
+        )
+        instance = self.guard.backend.instance
+        headers = self.guard.dialect.build_headers(call, instance)
+        return [*request.headers, *headers]
 
     async def read_chunk(self) -> bytes:
         """Return the next piece of the answer, empty at its end."""
--- a/limpetshore/httpclient.py
+++ b/limpetshore/httpclient.py
@@ -39,40 +39,85 @@
     headers: Headers
 
 
-class ResponseReader:
+class Response:
     """Collect what the HTTP parser reports of one answer."""
 
-    def __init__(self, *, is_bodyless: bool = False) -> None:
-        """Start before the first byte; HEAD has answers without body."""
-        self.is_bodyless = is_bodyless
-        self.parser = httptools.HttpResponseParser(self)
+    def __init__(self) -> None:
+        """Start before the first byte."""
         self.headers: Headers = []
         self.head: ResponseHead | None = None
         self.body: deque[bytes] = deque()
         self.is_complete = False
         self.is_kept_alive = False
+
+
+class ResponseReader:
+    """Split what a server sends into answers.
+
+    A server may send more answers than it was asked for; each is kept apart.
+    """
+
+    def __init__(self, *, is_bodyless: bool = False) -> None:
+        """Start before the first byte; HEAD has answers without body."""
+        self.is_bodyless = is_bodyless
+        self.parser = httptools.HttpResponseParser(self)
+        self.responses: deque[Response] = deque((Response(),))
         self.buffered = 0
 
+    @property
+    def first(self) -> Response:
+        """Return the answer that is read now."""
+        return self.responses[0]
+
+    @property
+    def last(self) -> Response:
+        """Return the answer that is received now."""
+        return self.responses[-1]
+
+    @property
+    def has_extra(self) -> bool:
+        """Tell whether more came than the answer that is read now."""
+        return len(self.responses) > 1
+
+    def skip(self) -> None:
+        """Drop the first answer, which is complete."""
+        if not self.has_extra:
+            self.responses.append(Response())
+        self.responses.popleft()
+
+    def on_message_begin(self) -> None:
+        """Start another answer once the one before is complete."""
+        if self.last.is_complete:
+            self.responses.append(Response())
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep one header, its name in lower case."""
-        self.headers.append((name.lower(), value))
+        self.last.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Publish the head, unless the status is only informational."""
         status = self.parser.get_status_code()
+        response = self.last
         if status > LAST_INFORMATIONAL_STATUS:
-            self.head = ResponseHead(status, self.headers)
-            self.is_complete = self.is_bodyless
-        self.headers = []
+            response.head = ResponseHead(status, response.headers)
+            response.is_complete = self.is_bodyless
+        response.headers = []
 
     def on_body(self, body: bytes) -> None:
         """Keep one piece of the body."""
-        self.body.append(body)
+        self.last.body.append(body)
 
     def on_message_complete(self) -> None:
         """Mark the answer whole."""
-        self.is_complete = self.head is not None
-        self.is_kept_alive = self.parser.should_keep_alive()
+        response = self.last
+        response.is_complete = response.head is not None
+        response.is_kept_alive = self.parser.should_keep_alive()
+
+    def finish(self) -> None:
+        """Mark an answer whole that ends with its connection."""
+        response = self.last
+        if response.head and not is_self_delimited(response.head):
+            response.is_complete = True
 
 
 class HttpConnection(asyncio.Protocol):
@@ -91,6 +136,7 @@
         self.is_reusable = True
         self.is_lost = False
         self.is_dirty = False
+        self.is_request_sent = True
         self.is_paused = False
         self.idle_since = clock.now()
         self.read_waiter: asyncio.Future[None] | None = None
@@ -123,8 +169,10 @@
             self.transport.pause_reading()
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Wake whoever waits."""
+        """Wake whoever waits; a clean end may complete an answer."""
         self.is_lost = True
+        if error is None:
+            self.reader.finish()
         wake(self.read_waiter)
         wake(self.write_waiter)
 
@@ -163,30 +211,41 @@
 
     async def read_head(self, timeout_s: float | None = None) -> ResponseHead:
         """Wait for the head of the answer; raise TimeoutError after a while."""
-        reader = self.reader
-        while reader.head is None:
+        response = self.reader.first
+        while response.head is None:
             await self.wait(BrokenError, timeout_s)
-        if not is_self_delimited(reader.head):
-            raise TruncatedError(f'{self.address} sent no length of its answer')
-        return reader.head
+        return response.head
 
     @property
     def has_chunk(self) -> bool:
         """Tell whether `read_chunk` returns without waiting."""
-        return bool(self.reader.body) or self.reader.is_complete
+        response = self.reader.first
+        return bool(response.body) or response.is_complete
 
     async def read_chunk(self, timeout_s: float | None = None) -> bytes:
         """Return the next piece of the body, empty at its end."""
-        reader = self.reader
-        while not reader.body and not reader.is_complete:
+        response = self.reader.first
+        while not response.body and not response.is_complete:
             await self.wait(TruncatedError, timeout_s)
-        if reader.body:
-            chunk = reader.body.popleft()
+        if response.body:
+            chunk = response.body.popleft()
             self.resume_reading(len(chunk))
             return chunk
-        self.is_reusable = reader.is_kept_alive and not self.is_lost
+        self.is_reusable = (
+            response.is_kept_alive
+            and self.is_request_sent
+            and not self.reader.has_extra
+            and not self.is_lost
+        )
         return b''
 
+    async def skip_answer(self) -> None:
+        """Read an answer to its end and go on to the next one."""
+        while await self.read_chunk():
+            continue
+        self.is_reusable = False
+        self.reader.skip()
+
     def resume_reading(self, taken: int) -> None:
         """Read on once little waits to be taken."""
         reader = self.reader
--- a/limpetshore/ingress.py
+++ b/limpetshore/ingress.py
@@ -17,14 +17,10 @@
 )
 from limpetshore.budgets import RetryTokens, is_retry_safe
 from limpetshore.callers import (
-    CALLER_HEADERS_DROPPED,
-    ID_BYTES,
-    MS_IN_S,
     Callers,
     Origin,
-    RequestName,
-    read_request_name,
 )
+from limpetshore.dialects import ID_BYTES, MS_IN_S, RequestName
 from limpetshore.errors import RefusedError, TruncatedError, refuse
 from limpetshore.exchanges import (
     Answer,
@@ -36,7 +32,6 @@
 from limpetshore.httpclient import Headers, HttpPool
 from limpetshore.levels import ReportedLevel, should_refuse
 from limpetshore.messages import (
-    REQUEST_ID_HEADER,
     CallMeta,
     NodeState,
     clean_headers,
@@ -50,8 +45,9 @@
     run_while_connected,
 )
 from limpetshore.policies import PolicyIndex, RouteMatch
-from limpetshore.repeats import find_owner, parse_request_id
+from limpetshore.repeats import find_owner
 from limpetshore.settings import NodeSettings, parse_address
+from limpetshore.splits import Splitter
 from limpetshore.standing import Standing
 from limpetshore.verdicts import Reason, Verdict
 
@@ -95,6 +91,7 @@
         self.retry_tokens: dict[str, RetryTokens] = {}
         self.deep_levels: dict[str, ReportedLevel] = {}
         self.is_leaving = False
+        self.splitter = Splitter()
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
@@ -145,6 +142,16 @@
         )
 
 
+def read_host(headers: Headers) -> str:
+    """Return the host a request is for, without its port.
+
+    >>> read_host([(b'host', b'Yard.example:80')])
+    'yard.example'
+    """
+    host = take_header(headers, b'host') or b''
+    return host.decode('latin-1').partition(':')[0].lower()
+
+
 class Handling:
     """Take one request from its head to the end of its answer."""
 
@@ -165,6 +172,8 @@
         self.name = RequestName('', is_from_caller=False)
         self.tried: list[str] = []
         self.origin: Origin | None = None
+        self.service = ''
+        self.dialect = ingress.callers.dialect
 
     async def run(self) -> None:
         """Answer the request or refuse it, never leave it without a word."""
@@ -173,18 +182,23 @@
         except RefusedError as error:
             self.ingress.metrics.count_refusal('ingress', error.refusal)
             if not self.sender.has_started:
-                await send_refusal(self.sender, error.refusal, self.name.text)
+                rendered = self.dialect.render(error.refusal, self.name.text)
+                await send_refusal(self.sender, rendered)
         except (CallerGoneError, TruncatedError) as error:
             # An answer left without its end makes uvicorn cut the connection.
             logger.debug('answer cut: {0}', error)
 
     async def serve(self) -> None:
         """Check the request, read its body and have it answered."""
-        self.name = read_request_name(self.headers)
+        self.name = self.dialect.read_name(self.headers)
         index = self.ingress.index
         if index is None:
             raise refuse(Reason.NO_POLICY, 'this node has no policy yet')
-        match = index.find_route(self.scope['method'], self.scope['path'])
+        match = index.find_route(
+            self.scope['method'],
+            self.scope['raw_path'].decode('latin-1'),
+            read_host(self.headers),
+        )
         if match is None:
             raise refuse(Reason.ROUTE_UNKNOWN, 'no route for method and path')
         self.origin = await self.ingress.callers.identify(
@@ -193,6 +207,7 @@
             match,
             self.name.text,
         )
+        self.service = self.ingress.splitter.choose(match)
         try:
             await self.have_answered(match)
         finally:
@@ -222,7 +237,7 @@
         ingress = self.ingress
         importance = self.origin.context.importance
         levels = (
-            ingress.balancer.service_level(match.route.service),
+            ingress.balancer.service_level(self.service),
             ingress.deep_level(match.name).read(),
         )
         if should_refuse(max(levels), importance, ingress.chance):
@@ -250,7 +265,6 @@
     ) -> OutboundRequest:
         """Return what is sent on, without the caller's key."""
         context = self.origin.context
-        birth = parse_request_id(self.name.text)
         meta = CallMeta(
             call_id='',
             request_id=self.name.text,
@@ -262,12 +276,16 @@
             depth=context.depth,
             is_repeatable=match.route.is_repeatable,
             is_id_from_caller=self.name.is_from_caller,
-            birth_ms=int(birth.birth * MS_IN_S) if birth else 0,
+            service=self.service,
+            caller_service=self.ingress.settings.backend.service,
         )
         return OutboundRequest(
             method=self.scope['method'].encode(),
             target=read_target(self.scope),
-            headers=clean_headers(self.headers, CALLER_HEADERS_DROPPED),
+            headers=clean_headers(
+                self.headers,
+                self.dialect.dropped_headers,
+            ),
             first=first,
             rest=None if body.is_complete else body.read_rest(),
             length=body.length,
@@ -320,7 +338,7 @@
             return False
         if clock.now() >= request.deadline:
             return False
-        if not ingress.tokens(match.route.service).spend():
+        if not ingress.tokens(self.service).spend():
             ingress.metrics.retries_withheld.labels('service_tokens').inc()
             return False
         if not self.origin.budget.spend():
@@ -332,7 +350,7 @@
     def choose_server(self, match: RouteMatch) -> NodeState:
         """Return the server for the next attempt."""
         ingress = self.ingress
-        service = match.route.service
+        service = self.service
         server: NodeState | None = None
         if match.route.is_repeatable or not self.name.is_from_caller:
             server = ingress.balancer.choose(service, self.tried)
@@ -402,7 +420,7 @@
         """Learn from a whole answer."""
         ingress = self.ingress
         ingress.balancer.view(server.name).succeed(answer.meta)
-        ingress.tokens(match.route.service).earn()
+        ingress.tokens(self.service).earn()
         self.learn_deep(match, 0, answer.meta.deep_level)
         latency = clock.now() - self.started
         ingress.metrics.observe_answer('ingress', latency)
@@ -424,9 +442,9 @@
     async def deliver(self, exchange: Exchange, answer: Answer) -> None:
         """Pass an answer on; a short one only once it is whole."""
         length = take_header(answer.head.headers, b'content-length')
-        mark = (REQUEST_ID_HEADER, self.name.text.encode('latin-1'))
+        marks = self.dialect.mark_answer(self.name.text)
         if length is None or int(length) > SMALL_ANSWER_BYTES:
-            await pass_on(exchange, self.sender, answer, [mark])
+            await pass_on(exchange, self.sender, answer, marks)
             return
         chunks = []
         try:
@@ -443,7 +461,7 @@
         await exchange.close()
         await self.sender.send_whole(
             answer.head.status,
-            [*headers, mark],
+            [*headers, *marks],
             b''.join(chunks),
         )
 
--- a/limpetshore/messages.py
+++ b/limpetshore/messages.py
@@ -47,7 +47,8 @@
     depth: int
     is_repeatable: bool
     is_id_from_caller: bool
-    birth_ms: int
+    service: str
+    caller_service: str
 
 
 class AnswerMeta(NamedTuple):
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -29,7 +29,7 @@
 from limpetshore.settings import NodeSettings, parse_address
 from limpetshore.shards import ShardKeeper
 from limpetshore.standing import Standing
-from limpetshore.store import HttpObjectStore
+from limpetshore.surfaces import OwnSurface, Surface
 from limpetshore.watching import StoreLink
 
 logger = Logger(__name__)
@@ -42,9 +42,15 @@
 class Node(PolicyFollower):
     """Put the parts of a node together."""
 
-    def __init__(self, settings: NodeSettings, tasks: TaskGroup) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        tasks: TaskGroup,
+        surface: Surface,
+    ) -> None:
         """Build every part; nothing runs before `run`."""
         self.settings = settings
+        self.surface = surface
         self.tasks = tasks
         self.metrics = Metrics()
         self.chance = random.Random()  # noqa: S311
@@ -53,8 +59,14 @@
             settings.node.name,
             fence_s=fleet.fence_s,
             cut_off_s=fleet.cut_off_s,
+            keys_need_store=fleet.keys_need_store,
+        )
+        self.guard = Guard(
+            settings,
+            self.metrics,
+            self.standing,
+            surface.backends,
         )
-        self.guard = Guard(settings, self.metrics, self.standing)
         self.table = MemberTable(first_state(settings))
         self.keeper = ShardKeeper(
             settings.node.name,
@@ -70,11 +82,7 @@
         )
         self.client = ControlClient(self.metrics)
         self.gossip = Gossip(self.fleet, self.client, fleet, self.chance)
-        self.store = HttpObjectStore(
-            parse_address(settings.store.address),
-            settings.store.timeout_s,
-            self.metrics,
-        )
+        self.store = surface.build_store(self.metrics)
         self.link = StoreLink(
             self.store,
             self.fleet,
@@ -114,6 +122,7 @@
                 self.standing,
                 self.purses,
                 self.settings.call.max_depth,
+                self.surface.callers,
             ),
             self.standing,
             self.chance,
@@ -143,6 +152,7 @@
             parse_address(listen.admin),
             graceful_s=1,
         )
+        self.further_servers = self.surface.build_servers(self)
 
     def adopt_policy(self, index: PolicyIndex) -> None:
         """Use a newer policy from now on."""
@@ -181,7 +191,12 @@
 
     async def start(self) -> None:
         """Open the ports and start the loops of the node."""
-        servers = (self.admin_server, self.peers_server, self.callers_server)
+        servers = (
+            *self.further_servers,
+            self.admin_server,
+            self.peers_server,
+            self.callers_server,
+        )
         for server in servers:
             self.tasks.start_soon(server.run_until_stopped)
         for server in servers:
@@ -218,6 +233,8 @@
             await self.peers_server.wait_stopped()
             await self.callers_server.wait_stopped()
         self.admin_server.stop()
+        for server in self.further_servers:
+            server.stop()
 
     async def tick(self) -> None:
         """Bring slowly changing state up to date, for ever."""
@@ -239,6 +256,15 @@
             self.fleet.spread(self.table.own_name)
             self.gossip.push()
 
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers should come to this node."""
+        return (
+            self.ingress.index is not None
+            and not self.guard.is_leaving
+            and not self.standing.is_cut_off
+        )
+
     def follow_members(self) -> None:
         """Follow a change of the member table."""
         self.fleet.follow_members()
@@ -304,13 +330,26 @@
         await anext(signals)
 
 
-async def serve(settings: NodeSettings) -> None:
+async def log_reloads() -> None:
+    """Log each SIGHUP; settings are read at the next start."""
+    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            logger.info('settings changed; they are in force after a restart')
+
+
+async def serve(settings: NodeSettings, surface: Surface) -> None:
     """Run a node until it is told to stop."""
     clock.use_boot_time()
     async with anyio.create_task_group() as tasks:
-        await Node(settings, tasks).run()
+        tasks.start_soon(log_reloads)
+        await Node(settings, tasks, surface).run()
 
 
-def run(settings: NodeSettings) -> None:
+def run(settings: NodeSettings, surface: Surface | None = None) -> None:
     """Run a node on the event loop of the process."""
-    anyio.run(serve, settings, backend_options={'use_uvloop': True})
+    anyio.run(
+        serve,
+        settings,
+        surface or OwnSurface(settings),
+        backend_options={'use_uvloop': True},
+    )
--- a/limpetshore/peers.py
+++ b/limpetshore/peers.py
@@ -15,6 +15,7 @@
     RequestBody,
     send_refusal,
 )
+from limpetshore.dialects import OwnCallerDialect
 from limpetshore.errors import (
     BrokenError,
     ConnectError,
@@ -69,6 +70,7 @@
     def __init__(self, guard: Guard) -> None:
         """Serve on behalf of the guard."""
         self.guard = guard
+        self.dialect = OwnCallerDialect()
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one call or probe."""
@@ -80,7 +82,7 @@
             meta = read_call_meta(scope['headers'])
         except RefusedError as error:
             self.guard.metrics.bad_input.labels('peer_call').inc()
-            await send_refusal(sender, error.refusal, '')
+            await send_refusal(sender, self.dialect.render(error.refusal, ''))
             return
         with self.guard.metrics.report_defects('guard'):
             await self.serve(scope, receive, sender, meta)
@@ -156,8 +158,7 @@
         self.guard.metrics.count_refusal('guard', error.refusal)
         await send_refusal(
             sender,
-            error.refusal,
-            meta.request_id,
+            self.dialect.render(error.refusal, meta.request_id),
             [(ANSWER_HEADER, json_encoder.encode(error.meta))],
         )
 
@@ -170,7 +171,8 @@
             )
         except msgspec.MsgspecError:
             self.guard.metrics.bad_input.labels('probe').inc()
-            await send_refusal(sender, Refusal(Reason.BAD_REQUEST), '')
+            refusal = Refusal(Reason.BAD_REQUEST)
+            await send_refusal(sender, self.dialect.render(refusal, ''))
             return
         reply = json_encoder.encode(self.guard.probe(request))
         await sender.start(
--- /dev/null
+++ b/limpetshore/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the product and the consortium platform."""
--- /dev/null
+++ b/limpetshore/platform/configuration.py
@@ -0,0 +1,77 @@
+"""Turn the configuration of the platform into a policy."""
+
+from limpetshore.platform.wire import (
+    REPEATABLE_KINDS,
+    Configuration,
+    CustomerEntry,
+    RouteEntry,
+)
+from limpetshore.policies import (
+    ANY_METHOD,
+    Customer,
+    Importance,
+    Policy,
+    Route,
+    SplitPart,
+    hash_key,
+)
+
+MS_IN_S = 1000
+UNLIMITED = 1_000_000
+MOST_RETRIES = 10
+
+
+def build_policy(configuration: Configuration) -> Policy:
+    """Return the policy that a configuration describes."""
+    return Policy(
+        number=configuration.version,
+        customers={
+            name: build_customer(entry)
+            for name, entry in configuration.customers.items()
+        },
+        routes={
+            name: build_route(entry)
+            for name, entry in configuration.routes.items()
+        },
+    )
+
+
+def build_route(entry: RouteEntry) -> Route:
+    """Return one route."""
+    split = [SplitPart(part.service, part.weight) for part in entry.split]
+    return Route(
+        path=entry.path_prefix,
+        service=entry.service or split[0].service,
+        methods=[ANY_METHOD],
+        host=entry.host.lower(),
+        split=split,
+        is_open=entry.is_open,
+        is_repeatable=entry.kind in REPEATABLE_KINDS,
+        importance=rank_priority(entry.priority),
+        timeout_s=entry.timeout_ms / MS_IN_S,
+        target_s=entry.target_ms / MS_IN_S,
+        retries=max(0, min(MOST_RETRIES, entry.attempts - 1)),
+    )
+
+
+def build_customer(entry: CustomerEntry) -> Customer:
+    """Return one customer, its keys hashed."""
+    importance = ''
+    if entry.priority is not None:
+        importance = rank_priority(entry.priority)
+    return Customer(
+        rate=entry.rate or UNLIMITED,
+        burst=max(1, int(entry.burst)) if entry.rate else UNLIMITED,
+        importance=importance,
+        key_hashes=[hash_key(key) for key in entry.keys],
+    )
+
+
+def rank_priority(priority: int) -> str:
+    """Return the importance for a priority, of which 0 is the highest.
+
+    >>> rank_priority(0)
+    'critical'
+    """
+    rank = max(Importance.LOW, Importance.CRITICAL - max(0, priority))
+    return Importance(rank).name.lower()
--- /dev/null
+++ b/limpetshore/platform/heartbeats.py
@@ -0,0 +1,121 @@
+"""Take the announcements of the local backend server."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from logbook import Logger
+
+from limpetshore.backends import Announcement
+from limpetshore.bodies import AnswerSender, CallerGoneError, RequestBody
+from limpetshore.errors import RefusedError
+from limpetshore.guard import Guard
+from limpetshore.platform import wire
+
+logger = Logger(__name__)
+
+PREFIX = '/instances/'
+MAX_HEARTBEAT_BYTES = 16384
+STALL_S = 2
+OK = 200
+BAD_REQUEST = 400
+NOT_FOUND = 404
+
+
+class HeartbeatApp:
+    """Serve the address to which the local server announces itself."""
+
+    def __init__(
+        self,
+        guard: Guard,
+        on_announcement: Callable[[], None],
+    ) -> None:
+        """Tell the guard, then whoever follows it."""
+        self.guard = guard
+        self.on_announcement = on_announcement
+        self.newest = (0, 0)
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Acknowledge one announcement or departure."""
+        sender = AnswerSender(send, STALL_S)
+        try:
+            status = await self.answer(scope, receive)
+        except (RefusedError, CallerGoneError) as error:
+            logger.info('heartbeat not read: {0}', error)
+            status = BAD_REQUEST
+        headers = [
+            (b'content-type', b'application/json'),
+            (b'content-length', b'2'),
+        ]
+        await sender.send_whole(status, headers, b'{}')
+
+    async def answer(self, scope: Any, receive: Any) -> int:
+        """Return the status for one request."""
+        path = scope['path']
+        if not path.startswith(PREFIX):
+            return NOT_FOUND
+        instance = path[len(PREFIX) :]
+        if scope['method'] == 'DELETE':
+            self.take_departure(instance)
+            return OK
+        body = RequestBody(
+            scope,
+            receive,
+            max_bytes=MAX_HEARTBEAT_BYTES,
+            stall_s=STALL_S,
+        )
+        content = await body.read_first(MAX_HEARTBEAT_BYTES)
+        try:
+            heartbeat = wire.decode(wire.Heartbeat, content)
+        except msgspec.MsgspecError as error:
+            self.guard.metrics.bad_input.labels('announcement').inc()
+            logger.warning('ignored a heartbeat of {0}: {1}', instance, error)
+            return BAD_REQUEST
+        return self.take_heartbeat(instance, heartbeat)
+
+    def take_heartbeat(self, instance: str, heartbeat: wire.Heartbeat) -> int:
+        """Follow the server unless the heartbeat is late or forged."""
+        backend = self.guard.settings.backend
+        is_local = heartbeat.address == backend.address
+        is_known = heartbeat.state in {wire.READY, wire.DRAINING}
+        if not is_local or not is_known or heartbeat.service != backend.service:
+            self.guard.metrics.bad_input.labels('announcement').inc()
+            logger.warning(
+                'ignored a heartbeat of {0}: not the local server',
+                instance,
+                extra={'address': heartbeat.address, 'state': heartbeat.state},
+            )
+            return BAD_REQUEST
+        order = (heartbeat.born, heartbeat.sequence)
+        if order < self.newest:
+            return OK
+        self.newest = order
+        self.follow(
+            Announcement(
+                state=heartbeat.state,
+                slots=max(1, heartbeat.slots),
+                boot=f'{instance}.{heartbeat.born}',
+                instance=instance,
+            ),
+        )
+        return OK
+
+    def take_departure(self, instance: str) -> None:
+        """Give the server nothing more."""
+        known = self.guard.backend.announcement
+        if known is not None and known.instance == instance:
+            self.follow(known._replace(state=wire.DRAINING))
+
+    def follow(self, announcement: Announcement) -> None:
+        """Put an announcement in force and log a change of state."""
+        known = self.guard.backend.announcement
+        is_new = self.guard.backend.take(announcement)
+        if is_new or (known and known.state != announcement.state):
+            logger.info(
+                'server {0} is {1}',
+                announcement.instance,
+                announcement.state,
+                extra={'slots': announcement.slots},
+            )
+        self.guard.follow_backend(is_new=is_new)
+        self.on_announcement()
--- /dev/null
+++ b/limpetshore/platform/surface.py
@@ -0,0 +1,73 @@
+"""Put together all through which a node meets the platform."""
+
+from typing import Any
+
+from limpetshore.bodies import AnswerSender
+from limpetshore.httpserver import HttpServer
+from limpetshore.metrics import Metrics
+from limpetshore.platform.dialects import (
+    PlatformBackendDialect,
+    PlatformCallerDialect,
+)
+from limpetshore.platform.heartbeats import STALL_S, HeartbeatApp
+from limpetshore.platform.store import PlatformStore
+from limpetshore.settings import NodeSettings, parse_address
+from limpetshore.store import HttpStoreClient, ObjectStore
+from limpetshore.surfaces import ServedNode, Surface
+
+CLOSE_WITHIN_S = 1
+OK = 200
+UNAVAILABLE = 503
+
+
+class PlatformSurface(Surface):
+    """Meet the platform's clients, servers and store."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        """Choose the dialects."""
+        super().__init__(settings)
+        self.callers = PlatformCallerDialect()
+        self.backends = PlatformBackendDialect()
+
+    def build_store(self, metrics: Metrics) -> ObjectStore:
+        """Return the store in which all that lasts is kept."""
+        store = self.settings.store
+        client = HttpStoreClient(
+            parse_address(store.address),
+            store.timeout_s,
+            metrics,
+        )
+        return PlatformStore(client)
+
+    def build_servers(self, node: ServedNode) -> list[HttpServer]:
+        """Return the servers for heartbeats and readiness."""
+        platform = self.settings.platform
+        applications = {
+            platform.heartbeats: HeartbeatApp(
+                node.guard,
+                node.follow_own_state,
+            ),
+            platform.readiness: ReadinessApp(node),
+        }
+        return [
+            HttpServer(
+                application,
+                parse_address(address),
+                graceful_s=CLOSE_WITHIN_S,
+            )
+            for address, application in applications.items()
+        ]
+
+
+class ReadinessApp:
+    """Tell whether clients should come to this node."""
+
+    def __init__(self, node: ServedNode) -> None:
+        """Tell what the node says of itself."""
+        self.node = node
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one question."""
+        status = OK if self.node.is_ready else UNAVAILABLE
+        sender = AnswerSender(send, STALL_S)
+        await sender.send_whole(status, [(b'content-length', b'0')], b'')
--- a/limpetshore/policies.py
+++ b/limpetshore/policies.py
@@ -5,7 +5,7 @@
 import hashlib
 import hmac
 import secrets
-from typing import Annotated, Any, NamedTuple
+from typing import Annotated, Any, Literal, NamedTuple
 
 import msgspec
 
@@ -16,11 +16,14 @@
 KEY_PREFIX = 'ls_'
 INDEX_LENGTH = 16
 EVERYONE = '*'
+ANY_METHOD = '*'
+ANY_HOST = ''
 TICKETS_REMEMBERED = 256
 MAX_POLICY_BYTES = 900_000
 
 KeyHash = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
-Method = Annotated[str, msgspec.Meta(pattern='^[A-Z]{3,10}$')]
+Method = Annotated[str, msgspec.Meta(pattern=r'^([A-Z]{3,10}|\*)$')]
+HostName = Annotated[str, msgspec.Meta(pattern='^[a-z0-9.-]{0,253}$')]
 Path = Annotated[str, msgspec.Meta(pattern='^/[!-~]{0,200}$')]
 
 
@@ -46,20 +49,34 @@
     burst: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
     weight: Annotated[float, msgspec.Meta(ge=0.01, le=100)] = 1
     most_important: ImportanceText = 'critical'
+    importance: ImportanceText | Literal[''] = ''
     key_hashes: list[KeyHash] = []
 
 
+class SplitPart(NamedTuple):
+    """Give a service its share of the requests on a route."""
+
+    service: Name
+    weight: Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
+
+
 class Route(NamedTuple):
-    """Say who may call a path and how its requests are treated."""
+    """Say who may call a path and how its requests are treated.
+
+    An empty `host` stands for every host. A `split` goes before `service`.
+    """
 
     path: Path
     service: Name
     methods: list[Method] = ['GET', 'POST']
+    host: HostName = ''
+    split: list[SplitPart] = []
     customers: list[str] = [EVERYONE]
     is_open: bool = False
     is_repeatable: bool = False
     importance: ImportanceText = 'normal'
     timeout_s: Seconds = 10
+    target_s: Seconds = 1
     retries: Annotated[int, msgspec.Meta(ge=0, le=10)] = 2
 
 
@@ -96,6 +113,18 @@
     importance: Importance
     subtree: str
 
+    @property
+    def services(self) -> list[str]:
+        """Return every service that may serve the route."""
+        if self.route.split:
+            return [part.service for part in self.route.split]
+        return [self.route.service]
+
+    def accepts(self, method: str) -> bool:
+        """Tell whether the route serves a method."""
+        methods = self.route.methods
+        return method in methods or ANY_METHOD in methods
+
 
 def parse_importance(text: str) -> Importance:
     """Return the rank of an importance.
@@ -133,18 +162,14 @@
                 self.owners.setdefault(key_hash[:INDEX_LENGTH], []).append(
                     KeyOwner(key_hash, name),
                 )
-        self.matches = sorted(
-            (
-                RouteMatch(
-                    name,
-                    route,
-                    parse_importance(route.importance),
-                    '{0}/'.format(route.path.rstrip('/')),
-                )
-                for name, route in policy.routes.items()
-            ),
-            key=lambda match: (-len(match.route.path), match.name),
-        )
+        self.hosts: dict[str, dict[str, list[RouteMatch]]] = {}
+        for name, route in sorted(policy.routes.items()):
+            subtree = '{0}/'.format(route.path.rstrip('/'))
+            importance = parse_importance(route.importance)
+            paths = self.hosts.setdefault(route.host, {})
+            paths.setdefault(subtree, []).append(
+                RouteMatch(name, route, importance, subtree),
+            )
         self.find_route = functools.lru_cache(maxsize=4096)(self.match_route)
 
     def find_customer(self, key: str) -> str | None:
@@ -156,13 +181,31 @@
                 found = owner.customer
         return found
 
-    def match_route(self, method: str, path: str) -> RouteMatch | None:
+    def match_route(
+        self,
+        method: str,
+        path: str,
+        host: str = ANY_HOST,
+    ) -> RouteMatch | None:
         """Return the route with the longest path that matches."""
-        for match in self.matches:
-            is_below = path.startswith(match.subtree)
-            is_below = is_below or path == match.route.path
-            if is_below and method in match.route.methods:
-                return match
+        for name in dict.fromkeys((host, ANY_HOST)):
+            found = self.match_path(self.hosts.get(name, {}), method, path)
+            if found:
+                return found
+        return None
+
+    def match_path(
+        self,
+        paths: dict[str, list[RouteMatch]],
+        method: str,
+        path: str,
+    ) -> RouteMatch | None:
+        """Look a path up, then each shorter one that it lies below."""
+        for subtree in list_subtrees(path):
+            for match in paths.get(subtree, ()):
+                is_below = path.startswith(subtree) or path == match.route.path
+                if is_below and match.accepts(method):
+                    return match
         return None
 
     def is_allowed(self, match: RouteMatch, customer: str) -> bool:
@@ -171,13 +214,25 @@
         return EVERYONE in allowed or customer in allowed
 
     def cap_importance(self, customer: str, wanted: Importance) -> Importance:
-        """Return the importance a customer may claim."""
+        """Return the importance a customer has or may claim."""
         record = self.policy.customers.get(customer)
         if record is None:
             return wanted
+        if record.importance:
+            return parse_importance(record.importance)
         return min(wanted, parse_importance(record.most_important))
 
 
+def list_subtrees(path: str) -> list[str]:
+    """Return every prefix of a path that ends with a slash, longest first.
+
+    >>> list_subtrees('/a/b')
+    ['/a/b/', '/a/', '/']
+    """
+    ends = [at + 1 for at, char in enumerate(path) if char == '/']
+    return [f'{path}/', *(path[:end] for end in reversed(ends))]
+
+
 def encode_policy(policy: Policy) -> bytes:
     """Return the policy as it is kept in the store."""
     return msgspec.json.encode(
--- a/limpetshore/settings.py
+++ b/limpetshore/settings.py
@@ -107,6 +107,14 @@
     watchers_per_zone: Annotated[int, msgspec.Meta(ge=1, le=16)] = 2
     id_window_s: Seconds = 600
     clock_skew_s: Seconds = 2
+    keys_need_store: bool = False
+
+
+class PlatformSection(NamedTuple):
+    """List the addresses that only the platform calls, as `host:port`."""
+
+    heartbeats: AddressText | None = None
+    readiness: AddressText | None = None
 
 
 class LogSection(NamedTuple):
@@ -128,6 +136,7 @@
     call: CallSection = CallSection()
     admission: AdmissionSection = AdmissionSection()
     fleet: FleetSection = FleetSection()
+    platform: PlatformSection = PlatformSection()
     log: LogSection = LogSection()
 
 
@@ -197,6 +206,11 @@
     'fleet.watchers_per_zone': 'Nodes for each zone that watch the store',
     'fleet.id_window_s': 'Seconds a request id is remembered',
     'fleet.clock_skew_s': 'Largest difference of wall clocks allowed for',
+    'fleet.keys_need_store': (
+        'Refuse keys without word of the store, even if most nodes are alive'
+    ),
+    'platform.heartbeats': 'Address for announcements of the backend server',
+    'platform.readiness': 'Address that tells whether callers may come',
     'log.level': 'Least severe message that is logged',
 }
 
--- a/limpetshore/standing.py
+++ b/limpetshore/standing.py
@@ -14,8 +14,16 @@
     node last saw more than half of the members alive.
     """
 
-    def __init__(self, name: str, *, fence_s: float, cut_off_s: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        *,
+        fence_s: float,
+        cut_off_s: float,
+        keys_need_store: bool = False,
+    ) -> None:
         """Start unconfirmed."""
+        self.keys_need_store = keys_need_store
         self.name = name
         self.fence_s = fence_s
         self.cut_off_s = cut_off_s
@@ -51,7 +59,8 @@
     @property
     def is_cut_off(self) -> bool:
         """Tell whether a key may have been withdrawn unheard."""
-        return self.age > self.cut_off_s
+        age = self.store_age if self.keys_need_store else self.age
+        return age > self.cut_off_s
 
     def check_owner(self, request_id: str) -> None:
         """Refuse an id unless it surely belongs to the local server."""
--- a/limpetshore/store.py
+++ b/limpetshore/store.py
@@ -71,8 +71,8 @@
         """Wait for changes after a revision, at most `wait_s` seconds."""
 
 
-class HttpObjectStore(ObjectStore):
-    """Reach the object API over HTTP."""
+class HttpStoreClient:
+    """Send requests to an object API over HTTP and count them."""
 
     def __init__(
         self,
@@ -86,12 +86,72 @@
         self.metrics = metrics
         self.pool = httpcore.AsyncConnectionPool(keepalive_expiry=KEEP_ALIVE_S)
 
+    async def call(  # noqa: WPS211
+        self,
+        kind: str,
+        method: str,
+        target: str,
+        *,
+        headers: list[tuple[bytes, bytes]] | None = None,
+        content: bytes | None = None,
+        patience_s: float = 0,
+    ) -> httpcore.Response:
+        """Send one request and count it."""
+        try:
+            with anyio.fail_after(patience_s or self.timeout_s):
+                response = await self.pool.request(
+                    method,
+                    self.base + target,
+                    headers=headers,
+                    content=content,
+                )
+        except (httpcore.ConnectError, OSError) as error:
+            self.metrics.store_calls.labels(kind, 'unavailable').inc()
+            raise StoreUnavailableError(f'store: {error}') from error
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            self.metrics.store_calls.labels(kind, 'lost').inc()
+            raise StoreUnavailableError(f'store: {error}') from error
+        self.metrics.store_calls.labels(kind, str(response.status)).inc()
+        return response
+
+    def check(self, response: httpcore.Response, kind: str) -> None:
+        """Raise what a status means."""
+        if response.status == CONFLICT:
+            raise StoreConflictError(f'{kind}: version has changed')
+        if response.status >= SERVER_ERROR:
+            raise StoreUnavailableError(f'{kind}: status {response.status}')
+        if response.status != OK:
+            raise StoreError(f'{kind}: status {response.status}')
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.pool.aclose()
+
+
+class HttpObjectStore(ObjectStore):
+    """Keep objects in the product's own object API."""
+
+    def __init__(
+        self,
+        address: Address,
+        timeout_s: float,
+        metrics: Metrics,
+    ) -> None:
+        """Set where the API is and how long an answer may take."""
+        self.client = HttpStoreClient(address, timeout_s, metrics)
+
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or None if there is none."""
-        response = await self.call('get', 'GET', f'/objects/{kind}/{name}')
+        response = await self.client.call(
+            'get', 'GET', f'/objects/{kind}/{name}'
+        )
         if response.status == NOT_FOUND:
             return None
-        self.check(response, 'get')
+        self.client.check(response, 'get')
         version = read_version(response)
         return StoredObject(kind, name, version, response.content)
 
@@ -103,88 +163,47 @@
         expected: int,
     ) -> int:
         """Write if the version is still the expected one; return the new."""
-        response = await self.call(
+        response = await self.client.call(
             'put',
             'PUT',
             f'/objects/{kind}/{name}',
             headers=[(b'if-version', str(expected).encode())],
             content=content,
         )
-        self.check(response, 'put')
+        self.client.check(response, 'put')
         return read_version(response)
 
     async def delete(self, kind: str, name: str, expected: int) -> None:
         """Delete if the version is still the expected one."""
-        response = await self.call(
+        response = await self.client.call(
             'delete',
             'DELETE',
             f'/objects/{kind}/{name}',
             headers=[(b'if-version', str(expected).encode())],
         )
         if response.status != NOT_FOUND:
-            self.check(response, 'delete')
+            self.client.check(response, 'delete')
 
     async def read_kind(self, kind: str) -> Changes:
         """Return all objects of a kind."""
-        response = await self.call('list', 'GET', f'/objects/{kind}')
-        self.check(response, 'list')
+        response = await self.client.call('list', 'GET', f'/objects/{kind}')
+        self.client.check(response, 'list')
         return read_changes(response)
 
     async def watch(self, since: int, wait_s: float) -> Changes:
         """Wait for changes after a revision, at most `wait_s` seconds."""
-        response = await self.call(
+        response = await self.client.call(
             'watch',
             'GET',
             f'/watch?since={since}&wait={wait_s}',
             patience_s=wait_s + WATCH_MARGIN_S,
         )
-        self.check(response, 'watch')
+        self.client.check(response, 'watch')
         return read_changes(response)
 
-    async def call(  # noqa: WPS211
-        self,
-        kind: str,
-        method: str,
-        target: str,
-        *,
-        headers: list[tuple[bytes, bytes]] | None = None,
-        content: bytes | None = None,
-        patience_s: float = 0,
-    ) -> httpcore.Response:
-        """Send one request and count it."""
-        try:
-            with anyio.fail_after(patience_s or self.timeout_s):
-                response = await self.pool.request(
-                    method,
-                    self.base + target,
-                    headers=headers,
-                    content=content,
-                )
-        except (httpcore.ConnectError, OSError) as error:
-            self.metrics.store_calls.labels(kind, 'unavailable').inc()
-            raise StoreUnavailableError(f'store: {error}') from error
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
-            self.metrics.store_calls.labels(kind, 'lost').inc()
-            raise StoreUnavailableError(f'store: {error}') from error
-        self.metrics.store_calls.labels(kind, str(response.status)).inc()
-        return response
-
-    def check(self, response: httpcore.Response, kind: str) -> None:
-        """Raise what a status means."""
-        if response.status == CONFLICT:
-            raise StoreConflictError(f'{kind}: version has changed')
-        if response.status >= SERVER_ERROR:
-            raise StoreUnavailableError(f'{kind}: status {response.status}')
-        if response.status != OK:
-            raise StoreError(f'{kind}: status {response.status}')
-
     async def close(self) -> None:
         """Close all connections."""
-        await self.pool.aclose()
+        await self.client.close()
 
 
 def read_version(response: httpcore.Response) -> int:
--- a/limpetshore/watching.py
+++ b/limpetshore/watching.py
@@ -10,6 +10,7 @@
 from limpetshore.errors import (
     StoreConflictError,
     StoreError,
+    StoreHistoryError,
     StoreUnavailableError,
 )
 from limpetshore.fleet import CURRENT, LEDGER, NODES, POLICY, FleetState
@@ -59,6 +60,9 @@
         while True:
             try:
                 await self.follow()
+            except StoreHistoryError as error:
+                logger.info('reading anew: {0}', error)
+                self.revision = None
             except StoreError as error:
                 logger.warning('store: {0}', error)
                 self.revision = None
@@ -87,21 +91,23 @@
             return
         if self.revision is None:
             await self.catch_up()
+        asked_at = clock.now()
         changes = await self.store.watch(self.revision, self.watch_s)
         for changed in changes.changed:
             self.take(changed)
         self.revision = changes.revision
-        self.fleet.standing.confirm_store()
+        self.fleet.standing.confirm_store(clock.now() - asked_at)
 
     async def catch_up(self) -> None:
         """Read everything anew."""
+        asked_at = clock.now()
         for kind in (POLICY, LEDGER, NODES):
             changes = await self.store.read_kind(kind)
             for stored in changes.changed:
                 self.take(stored)
             if self.revision is None:
                 self.revision = changes.revision
-        self.fleet.standing.confirm_store()
+        self.fleet.standing.confirm_store(clock.now() - asked_at)
 
     def take(self, stored: StoredObject) -> None:
         """Take in one object of the store."""
