Read the list of nodes again once joined

Cause: all nodes start within 0.3 s; each read the list of nodes before the others had written theirs, so nobody knew a peer and tokens were never granted. The product's own store watches all kinds at once and hid it.

--- a/limpetshore/watching.py
+++ b/limpetshore/watching.py
@@ -84,6 +84,7 @@
         """Watch once, or look whether watching is this node's turn."""
         if self.fleet.table.is_joining:
             await self.join()
+            self.revision = None  # others may have joined since it was read
         is_stale = self.fleet.standing.store_age > STALE_S
         if not self.is_watcher() and not is_stale:
             self.revision = None
