Serve calls without ASGI; translate the limit's window into a bucket

Callers' and peers' ports now use a protocol of our own on uvicorn's parser, one task a connection, one write an answer; the admin port keeps uvicorn. A hang-up cancels the task. Ruled out: the store, the parser. The limit counts rate * 5 + burst in 5 s; a bucket of rate and burst gives away a sixth of it.

--- a/limpetshore/admin.py
+++ b/limpetshore/admin.py
@@ -6,13 +6,10 @@
 import msgspec
 
 from limpetshore.backends import read_announcement
-from limpetshore.bodies import AnswerSender, CallerGoneError, RequestBody
-from limpetshore.errors import RefusedError
 from limpetshore.guard import Guard
 from limpetshore.metrics import Metrics
 
 MAX_ANNOUNCEMENT_BYTES = 4096
-STALL_S = 5
 OK = 200
 BAD_REQUEST = 400
 NOT_FOUND = 404
@@ -36,13 +33,16 @@
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
-        sender = AnswerSender(send, STALL_S)
-        try:
-            status, body = await self.answer(scope, receive)
-        except (RefusedError, CallerGoneError) as error:
-            status, body = BAD_REQUEST, str(error).encode()
-        await sender.start(status, [(b'content-length', b'%d' % len(body))])
-        await sender.send_body(body, is_last=True)
+        status, body = await self.answer(scope, receive)
+        headers = [(b'content-length', b'%d' % len(body))]
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': headers,
+            }
+        )
+        await send({'type': 'http.response.body', 'body': body})
 
     async def answer(self, scope: Any, receive: Any) -> tuple[int, bytes]:
         """Return the status and body for a request."""
@@ -52,22 +52,17 @@
         if path == '/status':
             return OK, msgspec.json.encode(self.describe())
         if path == '/announce' and scope['method'] in {'POST', 'PUT'}:
-            return await self.take_announcement(scope, receive)
+            return await self.take_announcement(receive)
         return NOT_FOUND, b'paths are /metrics, /status and /announce\n'
 
     async def take_announcement(
         self,
-        scope: Any,
         receive: Any,
     ) -> tuple[int, bytes]:
         """Follow the local backend server, or tell it what is wrong."""
-        body = RequestBody(
-            scope,
-            receive,
-            max_bytes=MAX_ANNOUNCEMENT_BYTES,
-            stall_s=STALL_S,
-        )
-        content = await body.read_first(MAX_ANNOUNCEMENT_BYTES)
+        content = await read_body(receive)
+        if len(content) > MAX_ANNOUNCEMENT_BYTES:
+            return BAD_REQUEST, b'announcement is too long\n'
         announcement, mistakes = read_announcement(content)
         if announcement is None:
             self.metrics.bad_input.labels('announcement').inc()
@@ -76,3 +71,14 @@
         self.guard.follow_backend(is_new=is_new)
         self.on_announcement()
         return OK, b'{}'
+
+
+async def read_body(receive: Any) -> bytes:
+    """Return a request body, or a little more of one that is too long."""
+    content = b''
+    while len(content) <= MAX_ANNOUNCEMENT_BYTES:
+        message = await receive()
+        content += message.get('body', b'')
+        if not message.get('more_body'):
+            break
+    return content
--- a/limpetshore/callers.py
+++ b/limpetshore/callers.py
@@ -1,6 +1,6 @@
 """Find out on whose behalf a request comes."""
 
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from limpetshore import clock
 from limpetshore.budgets import RetryBudget
@@ -10,6 +10,7 @@
 from limpetshore.guard import Guard
 from limpetshore.policies import PolicyIndex, RouteMatch
 from limpetshore.purses import Purses
+from limpetshore.serving import ServerRequest
 from limpetshore.standing import Standing
 from limpetshore.verdicts import Reason
 
@@ -44,21 +45,21 @@
 
     async def identify(
         self,
-        scope: Any,
+        request: ServerRequest,
         index: PolicyIndex,
         match: RouteMatch,
         request_id: str,
     ) -> Origin:
         """Return the origin of a request, or refuse it."""
-        headers = scope['headers']
+        headers = request.headers
         timeout_s = self.dialect.read_timeout_s(headers)
         if timeout_s is None:
             timeout_s = match.route.timeout_s
         deadline = clock.now() + min(timeout_s, match.route.timeout_s)
         token = self.dialect.read_token(headers)
         if token is not None:
-            return self.inherit(token, scope, deadline)
-        customer = self.authenticate(scope, index, match)
+            return self.inherit(token, request, deadline)
+        customer = self.authenticate(request, index, match)
         importance = match.importance
         if customer != ANONYMOUS:
             importance = index.cap_importance(customer, importance)
@@ -66,10 +67,15 @@
         context = CallContext(customer, importance, deadline, request_id, 0)
         return Origin(context, RetryBudget(match.route.retries), None)
 
-    def inherit(self, token: str, scope: Any, deadline: float) -> Origin:
+    def inherit(
+        self,
+        token: str,
+        request: ServerRequest,
+        deadline: float,
+    ) -> Origin:
         """Return the origin of a nested call from the local server."""
         parent = self.guard.running.find(token)
-        is_local = scope['client'][0] == self.guard.calls_from
+        is_local = request.peer_host == self.guard.calls_from
         if parent is None or not is_local:
             raise refuse(
                 Reason.TOKEN_UNKNOWN,
@@ -86,13 +92,13 @@
 
     def authenticate(
         self,
-        scope: Any,
+        request: ServerRequest,
         index: PolicyIndex,
         match: RouteMatch,
     ) -> str:
         """Return the customer whose key came with the request."""
-        key = self.dialect.read_key(scope['headers'])
-        if key is not None and key.encode('latin-1') in scope['raw_path']:
+        key = self.dialect.read_key(request.headers)
+        if key is not None and key in request.path:
             raise refuse(Reason.BAD_REQUEST, 'the key stands in the path')
         if match.route.is_open:
             return ANONYMOUS
--- a/limpetshore/dialects.py
+++ b/limpetshore/dialects.py
@@ -186,7 +186,8 @@
     def find_shed(self, head: ResponseHead) -> Reason | None:
         """Return the reason if the server refused before running.
 
-        >>> OwnBackendDialect().find_shed(ResponseHead(503, [(b'x-shed', b'1')]))
+        >>> head = ResponseHead(503, [(b'x-shed', b'1')])
+        >>> OwnBackendDialect().find_shed(head)
         <Reason.SERVER_SHED: 'server_shed'>
         """
         is_marked = take_header(head.headers, SHED_HEADER) == b'1'
--- a/limpetshore/httpclient.py
+++ b/limpetshore/httpclient.py
@@ -241,8 +241,7 @@
 
     async def skip_answer(self) -> None:
         """Read an answer to its end and go on to the next one."""
-        while await self.read_chunk():
-            continue
+        await self.read_all()
         self.is_reusable = False
         self.reader.skip()
 
--- a/limpetshore/httpserver.py
+++ b/limpetshore/httpserver.py
@@ -3,7 +3,7 @@
 import contextlib
 import logging
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Any
 
 import anyio
@@ -17,7 +17,6 @@
 KEEP_ALIVE_S = 75
 BACKLOG = 2048
 START_POLL_S = 0.005
-EXTENSION = 'limpetshore.connection'
 TOO_LARGE = (
     b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
     b'connection: close\r\ncontent-length: 0\r\n'
@@ -27,16 +26,11 @@
 
 
 class BoundedHttpProtocol(HttpToolsProtocol):
-    """Bound the size of headers and the time they may take.
-
-    The application finds it in the scope, see `find_connection`.
-    """
+    """Bound the size of headers and the time they may take."""
 
     header_bytes = 0
     is_in_headers = True
-    is_gone = False
     header_timer: Any = None
-    when_gone: Callable[[], None] | None = None
 
     def connection_made(self, transport: Any) -> None:
         """Start the header timer and detect peers that acknowledge nothing."""
@@ -54,27 +48,9 @@
         )
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the header timer and tell the application."""
+        """Stop the header timer."""
         self.header_timer.cancel()
-        self.is_gone = True
         super().connection_lost(exc)
-        if self.when_gone is not None:
-            self.when_gone()
-
-    def on_message_begin(self) -> None:
-        """Put the connection into the scope of the request."""
-        super().on_message_begin()
-        self.scope['extensions'] = {EXTENSION: self}
-
-    def take_whole_body(self) -> bytes | None:
-        """Return the body if all of it has come, without waiting."""
-        cycle = self.cycle
-        if cycle.more_body or cycle.waiting_for_100_continue:
-            return None
-        body = bytes(cycle.body)
-        cycle.body = bytearray()
-        cycle.message_event.clear()
-        return body
 
     def data_received(self, data: bytes) -> None:
         """Count the bytes of headers before they are parsed."""
@@ -98,11 +74,6 @@
         super().on_message_complete()
 
 
-def find_connection(scope: Any) -> BoundedHttpProtocol:
-    """Return the connection a request came on."""
-    return scope['extensions'][EXTENSION]
-
-
 class HttpServer(uvicorn.Server):
     """Serve one ASGI application on one address until told to stop."""
 
--- a/limpetshore/ingress.py
+++ b/limpetshore/ingress.py
@@ -1,7 +1,6 @@
 """Take requests from callers and the local backend server to an answer."""
 
 import random
-from typing import Any
 
 from anyio.abc import TaskGroup
 from logbook import Logger
@@ -29,7 +28,6 @@
 )
 from limpetshore.guard import Guard, GuardExchange
 from limpetshore.httpclient import Headers, HttpPool
-from limpetshore.httpserver import find_connection
 from limpetshore.levels import ReportedLevel, should_refuse
 from limpetshore.messages import (
     CallMeta,
@@ -41,12 +39,12 @@
 from limpetshore.peers import (
     PeerExchange,
     pass_on,
-    read_target,
-    run_while_connected,
+    run_with_tasks,
 )
 from limpetshore.policies import PolicyIndex, RouteMatch
 from limpetshore.randomness import random_pool
 from limpetshore.repeats import find_owner
+from limpetshore.serving import CallApp, ServerRequest
 from limpetshore.settings import NodeSettings, parse_address
 from limpetshore.splits import Splitter
 from limpetshore.standing import Standing
@@ -66,7 +64,7 @@
 DEEP_LEVEL_WEIGHT = 0.2
 
 
-class Ingress:
+class Ingress(CallApp):
     """Hold what all requests that enter at this node share."""
 
     def __init__(  # noqa: WPS211
@@ -94,9 +92,9 @@
         self.is_leaving = False
         self.splitter = Splitter()
 
-    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+    async def serve(self, request: ServerRequest) -> None:
         """Serve one request."""
-        handling = Handling(self, scope, receive, send)
+        handling = Handling(self, request)
         with self.metrics.report_defects('ingress'):
             await handling.run()
 
@@ -159,20 +157,13 @@
     def __init__(
         self,
         ingress: Ingress,
-        scope: Any,
-        receive: Any,
-        send: Any,
+        request: ServerRequest,
     ) -> None:
         """Look at the headers."""
         self.ingress = ingress
-        self.scope = scope
-        self.receive = receive
-        self.headers: Headers = scope['headers']
-        self.sender = AnswerSender(
-            send,
-            ingress.settings.call.stall_s,
-            find_connection(scope),
-        )
+        self.request = request
+        self.headers: Headers = request.headers
+        self.sender = AnswerSender(request, ingress.settings.call.stall_s)
         self.started = clock.now()
         self.name = RequestName('', is_from_caller=False)
         self.tried: list[str] = []
@@ -188,9 +179,9 @@
             self.ingress.metrics.count_refusal('ingress', error.refusal)
             if not self.sender.has_started:
                 rendered = self.dialect.render(error.refusal, self.name.text)
-                await send_refusal(self.sender, rendered)
+                send_refusal(self.sender, rendered)
         except (CallerGoneError, TruncatedError) as error:
-            # An answer left without its end makes uvicorn cut the connection.
+            # An answer left without its end is cut with its connection.
             logger.debug('answer cut: {0}', error)
 
     async def serve(self) -> None:
@@ -200,14 +191,14 @@
         if index is None:
             raise refuse(Reason.NO_POLICY, 'this node has no policy yet')
         match = index.find_route(
-            self.scope['method'],
-            self.scope['raw_path'].decode('latin-1'),
+            self.request.method.decode(),
+            self.request.path,
             read_host(self.headers),
         )
         if match is None:
             raise refuse(Reason.ROUTE_UNKNOWN, 'no route for method and path')
         self.origin = await self.ingress.callers.identify(
-            self.scope,
+            self.request,
             index,
             match,
             self.name.text,
@@ -233,7 +224,7 @@
                 request._replace(tasks=tasks),
             )
 
-        await run_while_connected(self.scope, body, try_servers)
+        await run_with_tasks(body, try_servers)
         if failure is not None:
             raise failure
 
@@ -256,8 +247,7 @@
         """Return the request body, to be read in bounded memory."""
         call = self.ingress.settings.call
         return RequestBody(
-            self.scope,
-            self.receive,
+            self.request,
             max_bytes=call.max_body_bytes,
             stall_s=call.stall_s,
         )
@@ -285,8 +275,8 @@
             caller_service=self.ingress.settings.backend.service,
         )
         return OutboundRequest(
-            method=self.scope['method'].encode(),
-            target=read_target(self.scope),
+            method=self.request.method,
+            target=self.request.target,
             headers=clean_headers(
                 self.headers,
                 self.dialect.dropped_headers,
@@ -464,7 +454,7 @@
         headers = clean_headers(answer.head.headers, frozenset())
         # The slot is free before a slow caller has read its answer.
         await exchange.close()
-        await self.sender.send_whole(
+        self.sender.send_whole(
             answer.head.status,
             [*headers, *marks],
             b''.join(chunks),
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -26,6 +26,7 @@
 from limpetshore.peers import PeerApp
 from limpetshore.policies import PolicyIndex
 from limpetshore.purses import Purses
+from limpetshore.serving import CallServer
 from limpetshore.settings import NodeSettings, parse_address
 from limpetshore.shards import ShardKeeper
 from limpetshore.shares import LocalShares
@@ -135,12 +136,12 @@
         """Build the servers of the four ports."""
         listen = self.settings.listen
         graceful_s = self.settings.call.graceful_s
-        self.callers_server = HttpServer(
+        self.callers_server = CallServer(
             self.ingress,
             parse_address(listen.callers),
             graceful_s=graceful_s,
         )
-        self.peers_server = HttpServer(
+        self.peers_server = CallServer(
             PeerApp(self.guard),
             parse_address(listen.peers),
             graceful_s=graceful_s,
@@ -221,6 +222,7 @@
         self.guard.is_leaving = True
         self.keeper.is_leaving = True
         self.ingress.is_leaving = True
+        self.callers_server.announce_stop()
         self.table.update_own(Status.LEFT, self.guard.backend.slots)
         self.fleet.spread(self.table.own_name)
         self.gossip.push()
--- a/limpetshore/peers.py
+++ b/limpetshore/peers.py
@@ -2,7 +2,6 @@
 
 import contextlib
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 import anyio
 import msgspec
@@ -40,7 +39,6 @@
     HttpPool,
     ResponseHead,
 )
-from limpetshore.httpserver import find_connection
 from limpetshore.messages import (
     ANSWER_HEADER,
     CALL_HEADER,
@@ -54,6 +52,7 @@
     json_encoder,
     take_header,
 )
+from limpetshore.serving import CallApp, ServerRequest
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
 PROBE_PATH = '/limpetshore/probe'
@@ -64,7 +63,7 @@
 NO_CONTENT = 204
 
 
-class PeerApp:
+class PeerApp(CallApp):
     """Serve calls that come from other nodes."""
 
     def __init__(self, guard: Guard) -> None:
@@ -72,39 +71,33 @@
         self.guard = guard
         self.dialect = OwnCallerDialect()
 
-    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+    async def serve(self, request: ServerRequest) -> None:
         """Serve one call or probe."""
-        sender = AnswerSender(
-            send,
-            self.guard.settings.call.stall_s,
-            find_connection(scope),
-        )
-        if scope['path'] == PROBE_PATH:
-            await self.answer_probe(scope, sender)
+        sender = AnswerSender(request, self.guard.settings.call.stall_s)
+        if request.path == PROBE_PATH:
+            self.answer_probe(request, sender)
             return
         try:
-            meta = read_call_meta(scope['headers'])
+            meta = read_call_meta(request.headers)
         except RefusedError as error:
             self.guard.metrics.bad_input.labels('peer_call').inc()
-            await send_refusal(sender, self.dialect.render(error.refusal, ''))
+            send_refusal(sender, self.dialect.render(error.refusal, ''))
             return
         with self.guard.metrics.report_defects('guard'):
-            await self.serve(scope, receive, sender, meta)
+            await self.serve_call(request, sender, meta)
 
-    async def serve(
+    async def serve_call(
         self,
-        scope: Any,
-        receive: Any,
+        request: ServerRequest,
         sender: AnswerSender,
         meta: CallMeta,
     ) -> None:
-        """Carry one call, and stop it if the other node hangs up."""
+        """Carry one call; it is cancelled if the other node hangs up."""
         call = self.guard.settings.call
         deadline = clock.now() + meta.timeout_ms / MS_IN_S
         try:
             body = RequestBody(
-                scope,
-                receive,
+                request,
                 max_bytes=call.max_body_bytes,
                 stall_s=call.stall_s,
             )
@@ -112,14 +105,14 @@
         except RefusedError as error:
             described = self.guard.describe_answer(error.refusal)
             wrapped = AnswerRefusedError(error.refusal, described)
-            await self.refuse(sender, wrapped, meta)
+            self.refuse(sender, wrapped, meta)
             return
         except CallerGoneError:
             return
-        request = OutboundRequest(
-            method=scope['method'].encode(),
-            target=read_target(scope),
-            headers=clean_headers(scope['headers'], DROPPED_FROM_PEERS),
+        outbound = OutboundRequest(
+            method=request.method,
+            target=request.target,
+            headers=clean_headers(request.headers, DROPPED_FROM_PEERS),
             first=first,
             rest=None if body.is_complete else body.read_rest(),
             length=body.length,
@@ -127,10 +120,9 @@
             deadline=deadline,
             tasks=None,
         )
-        await run_while_connected(
-            scope,
+        await run_with_tasks(
             body,
-            lambda tasks: self.carry(request._replace(tasks=tasks), sender),
+            lambda tasks: self.carry(outbound._replace(tasks=tasks), sender),
         )
 
     async def carry(
@@ -145,14 +137,14 @@
             meta = (ANSWER_HEADER, json_encoder.encode(answer.meta))
             await pass_on(exchange, sender, answer, [meta])
         except AnswerRefusedError as error:
-            await self.refuse(sender, error, request.meta)
+            self.refuse(sender, error, request.meta)
         except (TruncatedError, CallerGoneError):
-            # An answer left without its end makes uvicorn cut the connection.
+            # An answer left without its end is cut with its connection.
             return
         finally:
             await exchange.close()
 
-    async def refuse(
+    def refuse(
         self,
         sender: AnswerSender,
         error: AnswerRefusedError,
@@ -160,30 +152,30 @@
     ) -> None:
         """Tell the other node why there is no answer."""
         self.guard.metrics.count_refusal('guard', error.refusal)
-        await send_refusal(
+        send_refusal(
             sender,
             self.dialect.render(error.refusal, meta.request_id),
             [(ANSWER_HEADER, json_encoder.encode(error.meta))],
         )
 
-    async def answer_probe(self, scope: Any, sender: AnswerSender) -> None:
+    def answer_probe(
+        self,
+        request: ServerRequest,
+        sender: AnswerSender,
+    ) -> None:
         """Tell whether a call arrived, and void it if it did not."""
         try:
-            request = msgspec.json.decode(
-                take_header(scope['headers'], CALL_HEADER) or b'',
+            asked = msgspec.json.decode(
+                take_header(request.headers, CALL_HEADER) or b'',
                 type=ProbeRequest,
             )
         except msgspec.MsgspecError:
             self.guard.metrics.bad_input.labels('probe').inc()
             refusal = Refusal(Reason.BAD_REQUEST)
-            await send_refusal(sender, self.dialect.render(refusal, ''))
+            send_refusal(sender, self.dialect.render(refusal, ''))
             return
-        reply = json_encoder.encode(self.guard.probe(request))
-        await sender.start(
-            NO_CONTENT,
-            [(ANSWER_HEADER, reply)],
-        )
-        await sender.send_body(b'', is_last=True)
+        reply = json_encoder.encode(self.guard.probe(asked))
+        sender.send_whole(NO_CONTENT, [(ANSWER_HEADER, reply)], b'')
 
 
 DROPPED_FROM_PEERS = frozenset((b'content-length',))
@@ -198,34 +190,17 @@
         raise refuse(Reason.BAD_REQUEST, f'call header: {error}') from error
 
 
-def read_target(scope: Any) -> bytes:
-    """Return the request target as it was received."""
-    query = scope['query_string']
-    path = scope['raw_path']
-    return b'%b?%b' % (path, query) if query else path
-
-
-async def run_while_connected(
-    scope: Any,
+async def run_with_tasks(
     body: RequestBody,
     work: Callable[[TaskGroup | None], Awaitable[None]],
 ) -> None:
-    """Do some work, and stop it if the caller hangs up.
-
-    Only a body that is still coming needs a task group, to be sent from.
-    """
-    connection = find_connection(scope)
+    """Do some work; only a body that still comes needs a task group."""
     if body.is_complete:
-        with anyio.CancelScope() as cancel:
-            connection.when_gone = cancel.cancel
-            if not connection.is_gone:
-                await work(None)
-    else:
-        async with anyio.create_task_group() as tasks:
-            connection.when_gone = tasks.cancel_scope.cancel
-            await work(tasks)
-            tasks.cancel_scope.cancel()
-    connection.when_gone = None
+        await work(None)
+        return
+    async with anyio.create_task_group() as tasks:
+        await work(tasks)
+        tasks.cancel_scope.cancel()
 
 
 async def pass_on(
@@ -236,7 +211,7 @@
 ) -> None:
     """Pass an answer on piece by piece."""
     headers = clean_headers(answer.head.headers, frozenset())
-    await sender.start(answer.head.status, [*headers, *extra])
+    sender.start(answer.head.status, [*headers, *extra])
     while chunk := await exchange.read_chunk():
         await sender.send_body(chunk, is_last=False)
     await sender.send_body(b'', is_last=True)
--- a/limpetshore/platform/configuration.py
+++ b/limpetshore/platform/configuration.py
@@ -1,5 +1,7 @@
 """Turn the configuration of the platform into a policy."""
 
+from typing import NamedTuple
+
 from limpetshore.platform.wire import (
     REPEATABLE_KINDS,
     Configuration,
@@ -19,6 +21,8 @@
 MS_IN_S = 1000
 UNLIMITED = 1_000_000
 MOST_RETRIES = 10
+WINDOW_S = 5
+BURST_SHARE = 0.1
 
 
 def build_policy(configuration: Configuration) -> Policy:
@@ -56,17 +60,41 @@
 
 def build_customer(entry: CustomerEntry) -> Customer:
     """Return one customer, its keys hashed."""
-    importance = ''
+    importance = None
     if entry.priority is not None:
         importance = rank_priority(entry.priority)
+    limit = build_limit(entry)
     return Customer(
-        rate=entry.rate or UNLIMITED,
-        burst=max(1, int(entry.burst)) if entry.rate else UNLIMITED,
+        rate=limit.rate,
+        burst=limit.burst,
         importance=importance,
         key_hashes=[hash_key(key) for key in entry.keys],
     )
 
 
+class Limit(NamedTuple):
+    """Hold a rate in requests a second and a burst."""
+
+    rate: float
+    burst: int
+
+
+def build_limit(entry: CustomerEntry) -> Limit:
+    """Return the token bucket for a limit that counts in windows.
+
+    The platform allows `rate * WINDOW_S + burst` in every window. A bucket
+    with a small burst may refill faster and still stays below that.
+
+    >>> build_limit(CustomerEntry(rate=100, burst=100))
+    Limit(rate=108.0, burst=60)
+    """
+    if not entry.rate:
+        return Limit(UNLIMITED, UNLIMITED)
+    allowed = entry.rate * WINDOW_S + entry.burst
+    rate = allowed * (1 - BURST_SHARE) / WINDOW_S
+    return Limit(rate, max(1, int(allowed * BURST_SHARE)))
+
+
 def rank_priority(priority: int) -> str:
     """Return the importance for a priority, of which 0 is the highest.
 
--- a/limpetshore/platform/dialects.py
+++ b/limpetshore/platform/dialects.py
@@ -47,11 +47,11 @@
     def read_name(self, headers: Headers) -> RequestName:
         """Return the id of this attempt, which no caller sends again."""
         given = take_header(headers, wire.REQUEST_ID)
-        if given is None:
-            return RequestName(
-                random_pool.take_hex(ID_BYTES), is_from_caller=False
-            )
-        return RequestName(decode_request_id(given), is_from_caller=False)
+        name = decode_request_id(given) if given else ''
+        return RequestName(
+            name or random_pool.take_hex(ID_BYTES),
+            is_from_caller=False,
+        )
 
     def read_key(self, headers: Headers) -> str | None:
         """Return the caller's key, if it sent one."""
@@ -64,7 +64,6 @@
 
     def read_token(self, headers: Headers) -> str | None:
         """Return nothing: nested calls carry no token here."""
-        return None
 
     def mark_answer(self, request_id: str) -> Headers:
         """Add nothing: servers echo the request id themselves."""
--- a/limpetshore/platform/heartbeats.py
+++ b/limpetshore/platform/heartbeats.py
@@ -1,16 +1,16 @@
 """Take the announcements of the local backend server."""
 
 from collections.abc import Callable
-from typing import Any
 
 import msgspec
 from logbook import Logger
 
 from limpetshore.backends import Announcement
-from limpetshore.bodies import AnswerSender, CallerGoneError, RequestBody
+from limpetshore.bodies import CallerGoneError, RequestBody
 from limpetshore.errors import RefusedError
 from limpetshore.guard import Guard
 from limpetshore.platform import wire
+from limpetshore.serving import CallApp, ServerRequest
 
 logger = Logger(__name__)
 
@@ -22,7 +22,7 @@
 NOT_FOUND = 404
 
 
-class HeartbeatApp:
+class HeartbeatApp(CallApp):
     """Serve the address to which the local server announces itself."""
 
     def __init__(
@@ -35,11 +35,10 @@
         self.on_announcement = on_announcement
         self.newest = (0, 0)
 
-    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+    async def serve(self, request: ServerRequest) -> None:
         """Acknowledge one announcement or departure."""
-        sender = AnswerSender(send, STALL_S)
         try:
-            status = await self.answer(scope, receive)
+            status = await self.answer(request)
         except (RefusedError, CallerGoneError) as error:
             logger.info('heartbeat not read: {0}', error)
             status = BAD_REQUEST
@@ -47,20 +46,19 @@
             (b'content-type', b'application/json'),
             (b'content-length', b'2'),
         ]
-        await sender.send_whole(status, headers, b'{}')
+        request.send_whole(status, headers, b'{}')
 
-    async def answer(self, scope: Any, receive: Any) -> int:
+    async def answer(self, request: ServerRequest) -> int:
         """Return the status for one request."""
-        path = scope['path']
+        path = request.path
         if not path.startswith(PREFIX):
             return NOT_FOUND
         instance = path[len(PREFIX) :]
-        if scope['method'] == 'DELETE':
+        if request.method == b'DELETE':
             self.take_departure(instance)
             return OK
         body = RequestBody(
-            scope,
-            receive,
+            request,
             max_bytes=MAX_HEARTBEAT_BYTES,
             stall_s=STALL_S,
         )
--- a/limpetshore/platform/store.py
+++ b/limpetshore/platform/store.py
@@ -1,6 +1,6 @@
 """Reach the platform's store as an object store of the product."""
 
-import urllib.parse
+from urllib.parse import quote
 
 import msgspec
 from logbook import Logger
@@ -17,7 +17,6 @@
 from limpetshore.store import (
     MUST_NOT_EXIST,
     NOT_FOUND,
-    OK,
     Changes,
     HttpStoreClient,
     ObjectStore,
@@ -106,7 +105,7 @@
             entries += page.items
             if not page.has_more or not page.items:
                 break
-            last = urllib.parse.quote(page.items[-1].metadata.name)
+            last = quote(page.items[-1].metadata.name)
             after = f'?after={last}'
         stored = [to_stored(kind, entry) for entry in entries]
         return Changes(page.store_revision, stored)
@@ -143,9 +142,11 @@
     >>> find_path('nodes', 'one')
     '/objects/limpetshore-nodes/one'
     """
-    own = OWN_KIND_PREFIX + kind
-    path = '/objects/' + (wire.CONFIG_KIND if kind == POLICY else own)
-    return f'{path}/{urllib.parse.quote(name)}' if name else path
+    kept_as = OWN_KIND_PREFIX + kind
+    if kind == POLICY:
+        kept_as = wire.CONFIG_KIND
+    path = f'/objects/{kept_as}'
+    return '/'.join((path, quote(name))) if name else path
 
 
 def read(message_class: type, encoded: bytes) -> msgspec.Struct:
--- a/limpetshore/platform/surface.py
+++ b/limpetshore/platform/surface.py
@@ -1,16 +1,13 @@
 """Put together all through which a node meets the platform."""
 
-from typing import Any
-
-from limpetshore.bodies import AnswerSender
-from limpetshore.httpserver import HttpServer
 from limpetshore.metrics import Metrics
 from limpetshore.platform.dialects import (
     PlatformBackendDialect,
     PlatformCallerDialect,
 )
-from limpetshore.platform.heartbeats import STALL_S, HeartbeatApp
+from limpetshore.platform.heartbeats import HeartbeatApp
 from limpetshore.platform.store import PlatformStore
+from limpetshore.serving import CallApp, CallServer, ServerRequest
 from limpetshore.settings import NodeSettings, parse_address
 from limpetshore.store import HttpStoreClient, ObjectStore
 from limpetshore.surfaces import ServedNode, Surface
@@ -39,7 +36,7 @@
         )
         return PlatformStore(client)
 
-    def build_servers(self, node: ServedNode) -> list[HttpServer]:
+    def build_servers(self, node: ServedNode) -> list[CallServer]:
         """Return the servers for heartbeats and readiness."""
         platform = self.settings.platform
         applications = {
@@ -50,7 +47,7 @@
             platform.readiness: ReadinessApp(node),
         }
         return [
-            HttpServer(
+            CallServer(
                 application,
                 parse_address(address),
                 graceful_s=CLOSE_WITHIN_S,
@@ -59,15 +56,14 @@
         ]
 
 
-class ReadinessApp:
+class ReadinessApp(CallApp):
     """Tell whether clients should come to this node."""
 
     def __init__(self, node: ServedNode) -> None:
         """Tell what the node says of itself."""
         self.node = node
 
-    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+    async def serve(self, request: ServerRequest) -> None:
         """Answer one question."""
         status = OK if self.node.is_ready else UNAVAILABLE
-        sender = AnswerSender(send, STALL_S)
-        await sender.send_whole(status, [(b'content-length', b'0')], b'')
+        request.send_whole(status, [(b'content-length', b'0')], b'')
--- a/limpetshore/policies.py
+++ b/limpetshore/policies.py
@@ -5,7 +5,7 @@
 import hashlib
 import hmac
 import secrets
-from typing import Annotated, Any, Literal, NamedTuple
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 
@@ -49,7 +49,7 @@
     burst: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
     weight: Annotated[float, msgspec.Meta(ge=0.01, le=100)] = 1
     most_important: ImportanceText = 'critical'
-    importance: ImportanceText | Literal[''] = ''
+    importance: ImportanceText | None = None
     key_hashes: list[KeyHash] = []
 
 
@@ -148,6 +148,9 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
+RoutesByPath = dict[str, list[RouteMatch]]
+
+
 class PolicyIndex:
     """Answer the questions of the hot path about one policy."""
 
@@ -162,7 +165,7 @@
                 self.owners.setdefault(key_hash[:INDEX_LENGTH], []).append(
                     KeyOwner(key_hash, name),
                 )
-        self.hosts: dict[str, dict[str, list[RouteMatch]]] = {}
+        self.hosts: dict[str, RoutesByPath] = {}
         for name, route in sorted(policy.routes.items()):
             subtree = '{0}/'.format(route.path.rstrip('/'))
             importance = parse_importance(route.importance)
@@ -196,7 +199,7 @@
 
     def match_path(
         self,
-        paths: dict[str, list[RouteMatch]],
+        paths: RoutesByPath,
         method: str,
         path: str,
     ) -> RouteMatch | None:
--- a/limpetshore/surfaces.py
+++ b/limpetshore/surfaces.py
@@ -10,8 +10,8 @@
     OwnCallerDialect,
 )
 from limpetshore.guard import Guard
-from limpetshore.httpserver import HttpServer
 from limpetshore.metrics import Metrics
+from limpetshore.serving import CallServer
 from limpetshore.settings import NodeSettings, parse_address
 from limpetshore.store import HttpObjectStore, ObjectStore
 
@@ -44,7 +44,7 @@
         """Return the store in which all that lasts is kept."""
 
     @abstractmethod
-    def build_servers(self, node: ServedNode) -> list[HttpServer]:
+    def build_servers(self, node: ServedNode) -> list[CallServer]:
         """Return further servers that run beside those of the node."""
 
 
@@ -66,6 +66,6 @@
             metrics,
         )
 
-    def build_servers(self, node: ServedNode) -> list[HttpServer]:
+    def build_servers(self, node: ServedNode) -> list[CallServer]:
         """Return none: the admin port takes announcements."""
         return []
