Conserve budgets in parts that nodes own and lend

Cause: with budgets granted by holders of shards a tenant of 194/s was refused inside its limit: asks took a wait, half of the budget lay with four holders, and a restart needed a new ledger. Ruled out: demand above the limit (only one tenant of eight was above it, its limit lowered at 1.5 s). Now each owner refills an equal part; who runs short asks a node for tokens, which subtracts first; nothing expires, no ledger, no store call. Granted budgets stay for fleets without the platform.

--- a/limpetshore/callers.py
+++ b/limpetshore/callers.py
@@ -3,13 +3,13 @@
 from typing import NamedTuple
 
 from limpetshore import clock
+from limpetshore.borrowing import Spender
 from limpetshore.budgets import RetryBudget
 from limpetshore.calls import CallContext, RunningCall
 from limpetshore.dialects import CallerDialect
 from limpetshore.errors import refuse
 from limpetshore.guard import Guard
 from limpetshore.policies import PolicyIndex, RouteMatch
-from limpetshore.purses import Purses
 from limpetshore.serving import ServerRequest
 from limpetshore.standing import Standing
 from limpetshore.verdicts import Reason
@@ -32,15 +32,15 @@
         self,
         guard: Guard,
         standing: Standing,
-        purses: Purses,
+        spender: Spender,
         max_depth: int,
         dialect: CallerDialect,
     ) -> None:
-        """Use the running calls of the guard and the purses of customers."""
+        """Use the running calls of the guard and the tokens of customers."""
         self.dialect = dialect
         self.guard = guard
         self.standing = standing
-        self.purses = purses
+        self.spender = spender
         self.max_depth = max_depth
 
     async def identify(
@@ -63,7 +63,7 @@
         importance = match.importance
         if customer != ANONYMOUS:
             importance = index.cap_importance(customer, importance)
-            await self.purses.spend(customer)
+            await self.spender.spend(customer)
         context = CallContext(customer, importance, deadline, request_id, 0)
         return Origin(context, RetryBudget(match.route.retries), None)
 
--- a/limpetshore/control.py
+++ b/limpetshore/control.py
@@ -20,6 +20,8 @@
     FetchRequest,
     GrantReply,
     GrantRequest,
+    LendReply,
+    LendRequest,
     encode,
 )
 from limpetshore.metrics import Metrics
@@ -57,6 +59,10 @@
     async def grant(self, request: GrantRequest) -> GrantReply:
         """Grant tokens."""
 
+    async def lend(self, request: LendRequest) -> LendReply:
+        """Give tokens of this node away, if it owns any."""
+        return LendReply(0)
+
 
 class ControlServer:
     """Serve control messages."""
@@ -74,6 +80,7 @@
             'Exchange': self.build_method(Exchange, handler.exchange),
             'Fetch': self.build_method(FetchRequest, handler.fetch),
             'Grant': self.build_method(GrantRequest, handler.grant),
+            'Lend': self.build_method(LendRequest, handler.lend),
         }
         self.server.add_generic_rpc_handlers(
             (method_handlers_generic_handler(SERVICE, methods),)
--- a/limpetshore/gossip.py
+++ b/limpetshore/gossip.py
@@ -7,6 +7,7 @@
 from logbook import Logger
 
 from limpetshore import clock
+from limpetshore.conserved import ConservedBudgets
 from limpetshore.control import ControlClient, ControlHandler
 from limpetshore.errors import PeerError
 from limpetshore.fleet import LEDGER, POLICY, FleetState
@@ -18,6 +19,8 @@
     FetchRequest,
     GrantReply,
     GrantRequest,
+    LendReply,
+    LendRequest,
     NodeState,
 )
 from limpetshore.settings import FleetSection
@@ -51,6 +54,7 @@
         self.peers_version = -1
         self.push_wanted = anyio.Event()
         self.newer_at: list[str] = []
+        self.budgets: ConservedBudgets | None = None
 
     async def run(self) -> None:
         """Exchange with one peer after the other, for ever."""
@@ -262,6 +266,12 @@
         """Grant tokens from the shards held here."""
         return self.fleet.keeper.grant(request)
 
+    async def lend(self, request: LendRequest) -> LendReply:
+        """Give tokens of this node away."""
+        if self.budgets is None:
+            return LendReply(0)
+        return self.budgets.lend(request)
+
 
 def take_next(
     states: list[NodeState],
--- a/limpetshore/granting.py
+++ b/limpetshore/granting.py
@@ -1,15 +1,28 @@
 """Reach the nodes that grant tokens."""
 
+from logbook import Logger
+
 from limpetshore import clock
 from limpetshore.control import ControlClient
 from limpetshore.errors import PeerError
 from limpetshore.fleet import FleetState
 from limpetshore.members import Status
-from limpetshore.messages import GrantReply, GrantRequest, TokenAsk, TokenGrant
+from limpetshore.messages import (
+    GrantReply,
+    GrantRequest,
+    LendReply,
+    LendRequest,
+    TokenAsk,
+    TokenGrant,
+)
 from limpetshore.purses import Granter
+from limpetshore.borrowing import Lender
+
+logger = Logger(__name__)
 
 GRANT_TIMEOUT_S = 0.3
 DOUBTFUL_S = 1.0
+LEND_TIMEOUT_S = 0.1
 
 
 class FleetGranter(Granter):
@@ -70,3 +83,30 @@
         except PeerError:
             self.doubtful_until[name] = clock.now() + DOUBTFUL_S
             return None
+
+
+class FleetLender(Lender):
+    """Ask any node for tokens over its control address."""
+
+    def __init__(self, fleet: FleetState, client: ControlClient) -> None:
+        """Use the members of the fleet."""
+        self.fleet = fleet
+        self.client = client
+
+    async def ask(self, name: str, request: LendRequest) -> int:
+        """Return how many tokens a node gave, 0 if it did not answer."""
+        state = self.fleet.table.get(name)
+        if state is None:
+            return 0
+        try:
+            reply = await self.client.call(
+                state.control,
+                'Lend',
+                request,
+                LendReply,
+                LEND_TIMEOUT_S,
+            )
+        except PeerError as error:
+            logger.info('no tokens from {0}: {1}', name, error)
+            return 0
+        return reply.given
--- a/limpetshore/ingress.py
+++ b/limpetshore/ingress.py
@@ -48,7 +48,7 @@
 from limpetshore.settings import NodeSettings, parse_address
 from limpetshore.splits import Splitter
 from limpetshore.standing import Standing
-from limpetshore.verdicts import Reason, Verdict
+from limpetshore.verdicts import Reason, Refusal, Verdict
 
 logger = Logger(__name__)
 
@@ -169,6 +169,7 @@
         self.tried: list[str] = []
         self.origin: Origin | None = None
         self.service = ''
+        self.customer = ''
         self.dialect = ingress.callers.dialect
 
     async def run(self) -> None:
@@ -177,6 +178,7 @@
             await self.serve()
         except RefusedError as error:
             self.ingress.metrics.count_refusal('ingress', error.refusal)
+            self.log_refusal(error.refusal)
             if not self.sender.has_started:
                 rendered = self.dialect.render(error.refusal, self.name.text)
                 send_refusal(self.sender, rendered)
@@ -184,6 +186,24 @@
             # An answer left without its end is cut with its connection.
             logger.debug('answer cut: {0}', error)
 
+    def log_refusal(self, refusal: Refusal) -> None:
+        """Log why the request is refused, and what was known of it."""
+        context = self.origin.context if self.origin else None
+        logger.info(
+            'refused: {0}',
+            refusal.reason.value,
+            extra={
+                'request_id': self.name.text,
+                'verdict': refusal.verdict.value,
+                'detail': refusal.detail,
+                'retry_after_s': round(refusal.retry_after, 3),
+                'customer': context.customer if context else self.customer,
+                'service': self.service,
+                'tried': self.tried,
+                'after_s': round(clock.now() - self.started, 3),
+            },
+        )
+
     async def serve(self) -> None:
         """Check the request, read its body and have it answered."""
         self.name = self.dialect.read_name(self.headers)
--- a/limpetshore/messages.py
+++ b/limpetshore/messages.py
@@ -174,6 +174,19 @@
     grants: list[TokenGrant]
 
 
+class LendRequest(NamedTuple):
+    """Ask another node for tokens of one customer."""
+
+    customer: str
+    wanted: int
+
+
+class LendReply(NamedTuple):
+    """Say how many tokens were subtracted for the asker."""
+
+    given: int
+
+
 class Empty(NamedTuple):
     """Carry nothing."""
 
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -12,11 +12,13 @@
 from limpetshore import clock
 from limpetshore.admin import AdminApp
 from limpetshore.balancing import Balancer
+from limpetshore.borrowing import Borrower, Spender
 from limpetshore.callers import Callers
+from limpetshore.conserved import ConservedBudgets
 from limpetshore.control import ControlClient, ControlServer
 from limpetshore.fleet import FleetState, PolicyFollower
 from limpetshore.gossip import Gossip
-from limpetshore.granting import FleetGranter
+from limpetshore.granting import FleetGranter, FleetLender
 from limpetshore.guard import Guard
 from limpetshore.httpserver import HttpServer
 from limpetshore.ingress import Ingress
@@ -29,7 +31,6 @@
 from limpetshore.serving import CallServer
 from limpetshore.settings import NodeSettings, parse_address
 from limpetshore.shards import ShardKeeper
-from limpetshore.shares import LocalShares
 from limpetshore.standing import Standing
 from limpetshore.surfaces import OwnSurface, Surface
 from limpetshore.watching import StoreLink
@@ -37,6 +38,7 @@
 logger = Logger(__name__)
 
 TICK_S = 0.5
+GRANTED = 'granted'
 LEAVE_POLL_S = 0.05
 GC_THRESHOLDS = (20_000, 50, 100)
 
@@ -75,7 +77,6 @@
             self.standing,
             validity_s=fleet.grant_validity_s,
             shards_per_customer=fleet.shards_per_customer,
-            local_share=fleet.local_share,
         )
         self.fleet = FleetState(
             self.table,
@@ -108,13 +109,14 @@
             self.settings.admission.level_half_life_s,
             self.chance,
         )
+        self.budgets = ConservedBudgets(self.table, self.chance)
+        self.gossip.budgets = self.budgets
         self.purses = Purses(
             FleetGranter(self.fleet, self.client),
             self.tasks,
             validity_s=fleet.grant_validity_s,
             horizon_s=fleet.grant_horizon_s,
             wait_s=fleet.grant_wait_s,
-            local=LocalShares(fleet.local_share),
         )
         self.ingress = Ingress(
             self.settings,
@@ -124,7 +126,7 @@
             Callers(
                 self.guard,
                 self.standing,
-                self.purses,
+                self.choose_spender(),
                 self.settings.call.max_depth,
                 self.surface.callers,
             ),
@@ -132,6 +134,18 @@
             self.chance,
         )
 
+    def choose_spender(self) -> Spender:
+        """Return what spends tokens, as the settings say."""
+        fleet = self.settings.fleet
+        if fleet.budgets == GRANTED:
+            return self.purses
+        return Borrower(
+            self.budgets,
+            FleetLender(self.fleet, self.client),
+            self.tasks,
+            fleet.grant_wait_s,
+        )
+
     def build_servers(self) -> None:
         """Build the servers of the four ports."""
         listen = self.settings.listen
@@ -161,7 +175,7 @@
     def adopt_policy(self, index: PolicyIndex) -> None:
         """Use a newer policy from now on."""
         self.ingress.index = index
-        self.purses.local.customers = index.policy.customers
+        self.budgets.follow_policy(index.policy.customers)
         self.balancer.drained = index.drained
         self.guard.admission.weights = {
             name: customer.weight
@@ -208,13 +222,14 @@
             await server.wait_started()
         for loop in (
             self.link.run,
-            self.link.run_duty,
             self.gossip.run,
             self.gossip.run_pushes,
-            self.purses.return_idle,
             self.tick,
         ):
             self.tasks.start_soon(loop)
+        if self.settings.fleet.budgets == GRANTED:
+            self.tasks.start_soon(self.link.run_duty)
+            self.tasks.start_soon(self.purses.return_idle)
         tune_collector()
 
     def announce_leaving(self) -> None:
@@ -274,7 +289,7 @@
     def follow_members(self) -> None:
         """Follow a change of the member table."""
         self.fleet.follow_members()
-        self.purses.local.nodes = self.table.count_present()
+        self.budgets.follow_members()
         service = self.settings.backend.service
         owners = self.standing.list_owners(service)
         if owners != self.standing.own_owners:
--- a/limpetshore/platform/configuration.py
+++ b/limpetshore/platform/configuration.py
@@ -22,7 +22,9 @@
 UNLIMITED = 1_000_000
 MOST_RETRIES = 10
 WINDOW_S = 5
-BURST_SHARE = 0.1
+BURST_SHARE = 0.25
+TOLERATED_SHARE = 0.08
+TOLERATED = 10
 
 
 def build_policy(configuration: Configuration) -> Policy:
@@ -82,17 +84,19 @@
 def build_limit(entry: CustomerEntry) -> Limit:
     """Return the token bucket for a limit that counts in windows.
 
-    The platform allows `rate * WINDOW_S + burst` in every window. A bucket
-    with a small burst may refill faster and still stays below that.
+    The platform counts `rate * WINDOW_S + burst` in every window and tolerates
+    a little more. A bucket with a smaller burst may refill faster and still
+    stays below that.
 
     >>> build_limit(CustomerEntry(rate=100, burst=100))
-    Limit(rate=108.0, burst=60)
+    Limit(rate=101.6, burst=150)
     """
     if not entry.rate:
         return Limit(UNLIMITED, UNLIMITED)
     allowed = entry.rate * WINDOW_S + entry.burst
-    rate = allowed * (1 - BURST_SHARE) / WINDOW_S
-    return Limit(rate, max(1, int(allowed * BURST_SHARE)))
+    burst = max(1, int(allowed * BURST_SHARE))
+    used = allowed * (1 + TOLERATED_SHARE) + TOLERATED
+    return Limit((used - burst) / WINDOW_S, burst)
 
 
 def rank_priority(priority: int) -> str:
--- a/limpetshore/purses.py
+++ b/limpetshore/purses.py
@@ -7,9 +7,9 @@
 from anyio.abc import TaskGroup
 
 from limpetshore import clock
+from limpetshore.borrowing import Spender
 from limpetshore.errors import refuse
 from limpetshore.messages import TokenAsk, TokenGrant
-from limpetshore.shares import LocalShares
 from limpetshore.verdicts import Reason
 
 DEMAND_WINDOW_S = 0.5
@@ -113,7 +113,7 @@
         return len(self.spent_at) / DEMAND_WINDOW_S
 
 
-class Purses:
+class Purses(Spender):
     """Spend a token for each request, for all customers of this node."""
 
     def __init__(
@@ -124,7 +124,6 @@
         validity_s: float,
         horizon_s: float,
         wait_s: float,
-        local: LocalShares | None = None,
     ) -> None:
         """Start empty; fetches run in the task group of the node."""
         self.granter = granter
@@ -132,7 +131,6 @@
         self.validity_s = validity_s
         self.horizon_s = horizon_s
         self.wait_s = wait_s
-        self.local = local or LocalShares(0)
         self.purses: dict[str, Purse] = {}
         self.sequence = 0
 
@@ -143,8 +141,6 @@
 
     async def spend(self, customer: str) -> None:
         """Spend a token, or raise that the customer is over its rate."""
-        if self.local.take(customer):
-            return
         purse = self.purses.get(customer)
         if purse is None:
             purse = Purse()
--- a/limpetshore/settings.py
+++ b/limpetshore/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from limpetshore.checks import Name, Seconds, Share, build_record
+from limpetshore.checks import Name, Seconds, build_record
 from limpetshore.errors import SettingsError
 from limpetshore.httpclient import Address
 
@@ -103,7 +103,9 @@
     grant_validity_s: Seconds = 0.6
     grant_horizon_s: Seconds = 0.3
     grant_wait_s: Seconds = 0.4
-    local_share: Share = 0
+    budgets: Annotated[str, msgspec.Meta(pattern='^(granted|conserved)$')] = (
+        'granted'
+    )
     shards_per_customer: Annotated[int, msgspec.Meta(ge=1, le=16)] = 4
     watchers_per_zone: Annotated[int, msgspec.Meta(ge=1, le=16)] = 2
     id_window_s: Seconds = 600
@@ -203,8 +205,9 @@
     'fleet.grant_validity_s': 'Seconds a granted token may be spent',
     'fleet.grant_horizon_s': 'Seconds of demand asked for at a time',
     'fleet.grant_wait_s': 'Seconds a call waits for a token',
-    'fleet.local_share': (
-        'Share of each budget that all nodes divide equally, unasked'
+    'fleet.budgets': (
+        'How budgets are shared: granted by holders of shards, or conserved '
+        'in parts that nodes own and lend'
     ),
     'fleet.shards_per_customer': 'Nodes that share the budget of a customer',
     'fleet.watchers_per_zone': 'Nodes for each zone that watch the store',
--- a/limpetshore/shards.py
+++ b/limpetshore/shards.py
@@ -4,8 +4,7 @@
 from limpetshore.buckets import SharedBucket
 from limpetshore.ledger import Holder, Ledger, VersionedLedger, find_shards
 from limpetshore.messages import GrantReply, GrantRequest, TokenAsk, TokenGrant
-from limpetshore.policies import Customer, PolicyIndex
-from limpetshore.shares import find_local_share
+from limpetshore.policies import PolicyIndex
 from limpetshore.standing import Standing
 
 
@@ -47,7 +46,6 @@
         *,
         validity_s: float,
         shards_per_customer: int,
-        local_share: float = 0,
     ) -> None:
         """Start without shards; nothing is granted before a ledger names us."""
         self.name = name
@@ -55,7 +53,6 @@
         self.standing = standing
         self.validity_s = validity_s
         self.shards_per_customer = shards_per_customer
-        self.local_share = local_share
         self.ledger = VersionedLedger(0, Ledger())
         self.held: dict[int, HeldShard] = {}
         self.index: PolicyIndex | None = None
@@ -99,8 +96,8 @@
             for customer, bucket in shard.buckets.items():
                 record = index.policy.customers.get(customer)
                 if record:
-                    part = self.find_part(record)
-                    bucket.change(record.rate * part, record.burst * part)
+                    count = self.count_shards(record.burst)
+                    bucket.change(record.rate / count, record.burst / count)
 
     def count_shards(self, burst: int) -> int:
         """Return how many shards share a burst; few for a small one.
@@ -109,11 +106,6 @@
         """
         return max(1, min(self.shards_per_customer, burst // BURST_PER_SHARD))
 
-    def find_part(self, record: Customer) -> float:
-        """Return the part of a budget that one of its shards grants."""
-        granted = 1 - find_local_share(record, self.local_share)
-        return granted / self.count_shards(record.burst)
-
     def find_shards(self, customer: str) -> list[int]:
         """Return the shards of a customer in force."""
         record = self.index.policy.customers.get(customer)
@@ -155,10 +147,10 @@
             return None
         if ask.customer not in shard.buckets:
             self.note_baselines()
-            part = self.find_part(record)
+            count = self.count_shards(record.burst)
             shard.open_bucket(
                 ask.customer,
-                record.rate * part,
-                record.burst * part,
+                record.rate / count,
+                record.burst / count,
             )
         return shard.buckets[ask.customer]
