Keep a leaving server left, re-place what no server saw, know servers at once

A heartbeat that arrived after the departure made a server ready again; a node that restarted knew only records written before the others were ready; a server of another service at the local address was asked again and again. Now a departure binds until a new birth; an answer for another instance makes the node forget its server; a joining node compares whole tables with a peer; the record of a node is written again when its server is ready, and after a restart one health request tells whether that server still runs. A call that no server saw is placed elsewhere without paying for a retry. Ruled out: the store (its calls succeed), gossip (tables equal after 3 s).

--- a/limpetshore/backends.py
+++ b/limpetshore/backends.py
@@ -1,5 +1,6 @@
 """Know the backend server beside the node by what it announces."""
 
+from collections import deque
 from typing import Annotated, NamedTuple
 
 import msgspec
@@ -8,6 +9,9 @@
 from limpetshore.checks import build_record
 
 MAX_BOOT_LENGTH = 64
+BOOTS_REMEMBERED = 16
+UNREACHABLE_S = 0.3
+DRAINING = 'draining'
 
 
 class Announcement(NamedTuple):
@@ -29,11 +33,20 @@
         self.max_slots = max_slots
         self.lapse_s = lapse_s
         self.announcement: Announcement | None = None
+        self.left_boots: deque[str] = deque(maxlen=BOOTS_REMEMBERED)
+        self.unreachable_until = float('-inf')
         self.heard_at: float = 0
 
     def take(self, announcement: Announcement) -> bool:
-        """Keep an announcement; return True if the server is a new one."""
+        """Keep an announcement; return True if the server is a new one.
+
+        A server with an id that began to leave stays so until it starts anew.
+        """
         earlier = self.announcement
+        if announcement.state == DRAINING and announcement.instance:
+            self.left_boots.append(announcement.boot)
+        elif announcement.boot in self.left_boots:
+            announcement = announcement._replace(state=DRAINING)
         self.announcement = announcement
         self.heard_at = clock.now()
         return earlier is None or earlier.boot != announcement.boot
@@ -57,8 +70,17 @@
             self.announcement is not None
             and self.announcement.state == 'ready'
             and clock.now() - self.heard_at <= self.lapse_s
+            and clock.now() >= self.unreachable_until
         )
 
+    def forget(self) -> None:
+        """Believe nothing until the server announces itself again."""
+        self.announcement = None
+
+    def note_unreachable(self) -> None:
+        """Give the server nothing for a moment, since it took no connection."""
+        self.unreachable_until = clock.now() + UNREACHABLE_S
+
 
 def read_announcement(body: bytes) -> tuple[Announcement | None, list[str]]:
     """Return the announcement in a request body and what is wrong with it."""
--- a/limpetshore/balancing.py
+++ b/limpetshore/balancing.py
@@ -7,6 +7,7 @@
 from limpetshore.levels import ReportedLevel
 from limpetshore.members import MemberTable
 from limpetshore.messages import AnswerMeta, NodeState
+from limpetshore.verdicts import LOST_REASONS, UNSENT_REASONS, Reason
 
 FAILURES_UNTIL_ASIDE = 3
 FIRST_ASIDE_S = 1
@@ -38,6 +39,24 @@
         self.load = meta.load
         self.level.report(meta.level)
 
+    def learn_refusal(self, meta: AnswerMeta, reason: Reason) -> None:
+        """Learn from an honest refusal."""
+        self.succeed(meta)
+        if reason in UNSENT_REASONS:
+            self.put_aside()
+
+    def learn_loss(self, reason: Reason) -> None:
+        """Learn from an attempt that a guard did not answer."""
+        if reason == Reason.UNREACHABLE:
+            self.put_aside()
+        elif reason in LOST_REASONS:
+            self.fail()
+
+    def put_aside(self) -> None:
+        """Give a server that cannot be reached nothing for a moment."""
+        self.failures = max(self.failures, FAILURES_UNTIL_ASIDE - 1)
+        self.fail()
+
     def fail(self) -> None:
         """Learn from an attempt that got no word from the server."""
         self.failures += 1
--- a/limpetshore/budgets.py
+++ b/limpetshore/budgets.py
@@ -65,6 +65,11 @@
         self.earning = earning
         self.tokens = most
 
+    def resize(self, most: float) -> None:
+        """Change how many retries may be saved up."""
+        self.most = most
+        self.tokens = min(self.tokens, most)
+
     def earn(self) -> None:
         """Count a whole answer."""
         self.tokens = min(self.most, self.tokens + self.earning)
--- a/limpetshore/clock.py
+++ b/limpetshore/clock.py
@@ -24,14 +24,21 @@
     return process_clock.source()
 
 
-def boot_time() -> float:
+def boot_time(
+    read: Callable[[int], float] = time.clock_gettime,
+    clock_id: int = time.CLOCK_BOOTTIME,
+) -> float:
     """Return seconds since boot, those spent suspended included."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+    return read(clock_id)
 
 
 def use_boot_time() -> None:
-    """Count suspended time, which the clock of an event loop leaves out."""
+    """Count suspended time, which the clock of an event loop leaves out.
+
+    `now` itself is replaced, since every call reads it many times.
+    """
     process_clock.source = boot_time
+    globals()['now'] = boot_time  # noqa: WPS421
 
 
 def wall_time() -> float:
--- a/limpetshore/exchanges.py
+++ b/limpetshore/exchanges.py
@@ -16,6 +16,7 @@
 )
 from limpetshore.httpclient import Headers, HttpConnection, ResponseHead
 from limpetshore.messages import AnswerMeta, CallMeta
+from limpetshore.serving import ServerRequest
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
 
@@ -23,7 +24,7 @@
     """Hold a request on its way; `deadline` is on the local clock.
 
     `first` is the part of the body already read, `rest` what follows, sent
-    by a task of its own in `tasks`.
+    by a task of its own in `tasks`. `origin` is the request as it came in.
     """
 
     method: bytes
@@ -35,6 +36,7 @@
     meta: CallMeta
     deadline: float
     tasks: TaskGroup | None
+    origin: ServerRequest | None = None
 
 
 class Answer(NamedTuple):
@@ -63,6 +65,11 @@
         Raise RefusedError with the verdict if there is none.
         """
 
+    @property
+    @abstractmethod
+    def has_chunk(self) -> bool:
+        """Tell whether `read_chunk` returns without waiting."""
+
     @abstractmethod
     async def read_chunk(self) -> bytes:
         """Return the next piece of the answer, empty at its end."""
--- a/limpetshore/gossip.py
+++ b/limpetshore/gossip.py
@@ -32,6 +32,7 @@
 JITTER = 0.3
 FULL_EXCHANGE_S = 3
 PUSH_FANOUT = 3
+GREETED = 3
 
 
 class Gossip(ControlHandler):
@@ -164,8 +165,14 @@
             self.differs_since = clock.now()
         return clock.now() - self.differs_since
 
-    async def exchange_all(self, address: str) -> None:
-        """Compare whole member tables, since they have come to differ."""
+    async def greet(self) -> None:
+        """Learn from some peer what the records of the store leave out."""
+        for address in self.find_peers()[:GREETED]:
+            if await self.exchange_all(address):
+                return
+
+    async def exchange_all(self, address: str) -> bool:
+        """Compare whole member tables; return whether the peer answered."""
         request = Exchange(
             self.fleet.digest(),
             self.fleet.table.states(),
@@ -181,9 +188,10 @@
             )
         except PeerError as error:
             logger.debug('no full exchange with {0}: {1}', address, error)
-            return
+            return False
         for state in reply.changes:
             self.fleet.merge(state)
+        return True
 
     async def fetch_newer(self, address: str, digest: Digest) -> None:
         """Fetch documents that a peer has in a newer version."""
--- a/limpetshore/guard.py
+++ b/limpetshore/guard.py
@@ -1,5 +1,7 @@
 """Admit calls to the local backend server and carry them there."""
 
+from logbook import Logger
+
 from limpetshore import clock
 from limpetshore.admission import Admission
 from limpetshore.backends import LocalBackend
@@ -46,6 +48,8 @@
 from limpetshore.standing import Standing
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
+logger = Logger(__name__)
+
 MOST_STRAY_ANSWERS = 3
 FRESH_IDLE_S = 0.5
 
@@ -68,7 +72,7 @@
         call = settings.call
         admission = settings.admission
         address = parse_address(settings.backend.address)
-        self.pool = HttpPool(address, call.max_idle_s)
+        self.pool = HttpPool(address, call.max_idle_s, call.connect_s)
         self.calls_from = settings.backend.calls_from or address.host
         self.backend = LocalBackend(
             settings.backend.max_slots,
@@ -227,6 +231,7 @@
         try:
             self.connection = await self.guard.pool.acquire(max_idle_s)
         except ConnectError as error:
+            self.guard.backend.note_unreachable()
             raise refuse(Reason.UNREACHABLE, str(error)) from error
         return self.connection
 
@@ -238,6 +243,8 @@
         """Send the request and wait for the head of the answer."""
         self.start_call(request)
         self.started = clock.now()
+        if request.origin and not request.meta.is_repeatable:
+            request.origin.is_detached = True
         try:
             await send_request(connection, request, self.add_headers(request))
             head = await self.read_own_head(connection, request)
@@ -248,8 +255,16 @@
                 verdict=Verdict.MAY_HAVE_RUN,
             ) from error
         shed = self.guard.dialect.find_shed(head)
-        if shed is not None:
+        if shed == Reason.NOT_OWNER:
+            logger.warning(
+                'another server than {0} answers',
+                self.guard.backend.instance,
+                extra={'request_id': request.meta.request_id},
+            )
+            self.guard.backend.forget()
+        elif shed is not None:
             self.guard.admission.limit.observe_shed()
+        if shed is not None:
             self.release_id(request.meta)
             raise refuse(shed, 'the server did not run the request')
         described = self.guard.describe_answer(call=self.call)
@@ -301,6 +316,11 @@
         headers = self.guard.dialect.build_headers(call, instance)
         return [*request.headers, *headers]
 
+    @property
+    def has_chunk(self) -> bool:
+        """Tell whether `read_chunk` returns without waiting."""
+        return self.connection.has_chunk
+
     async def read_chunk(self) -> bytes:
         """Return the next piece of the answer, empty at its end."""
         chunk = await read_chunk_within(
--- a/limpetshore/httpclient.py
+++ b/limpetshore/httpclient.py
@@ -142,6 +142,7 @@
         self.read_waiter: asyncio.Future[None] | None = None
         self.write_waiter: asyncio.Future[None] | None = None
         self.damage: httptools.HttpParserError | None = None
+        self.pool: HttpPool | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Detect a peer that acknowledges nothing."""
@@ -157,6 +158,8 @@
         if self.is_reusable:
             self.is_dirty = True  # nothing was asked
             return
+        if self.pool is not None:
+            self.pool.heard_at = clock.now()
         reader = self.reader
         try:
             reader.parser.feed_data(received)
@@ -322,11 +325,14 @@
     )
 
 
-async def connect(address: Address) -> HttpConnection:
+async def connect(
+    address: Address,
+    timeout_s: float = CONNECT_TIMEOUT_S,
+) -> HttpConnection:
     """Open a new connection within the connect timeout."""
     loop = asyncio.get_running_loop()
     try:
-        with anyio.fail_after(CONNECT_TIMEOUT_S):
+        with anyio.fail_after(timeout_s):
             _, connection = await loop.create_connection(
                 lambda: HttpConnection(address),
                 address.host,
@@ -340,10 +346,17 @@
 class HttpPool:
     """Keep idle connections to one address, the freshest first."""
 
-    def __init__(self, address: Address, max_idle_s: float) -> None:
-        """Set the address and how long a connection may idle."""
+    def __init__(
+        self,
+        address: Address,
+        max_idle_s: float,
+        connect_s: float = CONNECT_TIMEOUT_S,
+    ) -> None:
+        """Set how long a connection may idle and take to open."""
         self.address = address
         self.max_idle_s = max_idle_s
+        self.connect_s = connect_s
+        self.heard_at = clock.now()
         self.idle: list[HttpConnection] = []
 
     async def acquire(self, max_idle_s: float | None = None) -> HttpConnection:
@@ -356,7 +369,10 @@
             if connection.idle_since >= oldest and connection.is_quiet():
                 return connection
             connection.close()
-        return await connect(self.address)
+        connection = await connect(self.address, self.connect_s)
+        connection.pool = self
+        self.heard_at = clock.now()
+        return connection
 
     def release(self, connection: HttpConnection) -> None:
         """Keep the connection if its answer was read to the end."""
--- a/limpetshore/ingress.py
+++ b/limpetshore/ingress.py
@@ -48,18 +48,11 @@
 from limpetshore.settings import NodeSettings, parse_address
 from limpetshore.splits import Splitter
 from limpetshore.standing import Standing
-from limpetshore.verdicts import Reason, Refusal, Verdict
+from limpetshore.verdicts import UNSENT_REASONS, Reason, Refusal, Verdict
 
 logger = Logger(__name__)
 
-LOST_REASONS = frozenset(
-    (
-        Reason.BROKEN,
-        Reason.SILENT,
-        Reason.TRUNCATED,
-        Reason.UNREACHABLE,
-    )
-)
+MOST_PLACEMENTS = 6
 SMALL_ANSWER_BYTES = 65536
 DEEP_LEVEL_WEIGHT = 0.2
 
@@ -91,6 +84,8 @@
         self.deep_levels: dict[str, ReportedLevel] = {}
         self.is_leaving = False
         self.splitter = Splitter()
+        self.most_retry_tokens = settings.admission.retry_tokens
+        self.share_retries(1)
 
     async def serve(self, request: ServerRequest) -> None:
         """Serve one request."""
@@ -105,6 +100,7 @@
             found = HttpPool(
                 parse_address(address),
                 self.settings.call.max_idle_s,
+                self.settings.call.connect_s,
             )
             self.pools[address] = found
         return found
@@ -113,14 +109,20 @@
         """Return the retry tokens of a service."""
         found = self.retry_tokens.get(service)
         if found is None:
-            admission = self.settings.admission
-            found = RetryTokens(
-                admission.retry_tokens,
-                admission.retry_earning,
-            )
+            earning = self.settings.admission.retry_earning
+            found = RetryTokens(self.most_retry_tokens, earning)
             self.retry_tokens[service] = found
         return found
 
+    def share_retries(self, nodes: int) -> None:
+        """Divide the retries that the fleet may save up among its nodes."""
+        total = self.settings.admission.fleet_retry_tokens
+        if not total:
+            return
+        self.most_retry_tokens = max(1, total / max(1, nodes))
+        for tokens in self.retry_tokens.values():
+            tokens.resize(self.most_retry_tokens)
+
     def deep_level(self, route: str) -> ReportedLevel:
         """Return the level met below a route."""
         found = self.deep_levels.get(route)
@@ -138,6 +140,7 @@
             self.pool(server.peers),
             call.silence_s,
             call.stall_s,
+            call.quiet_s,
         )
 
 
@@ -353,13 +356,22 @@
             return False
         if clock.now() >= request.deadline:
             return False
-        if not ingress.tokens(self.service).spend():
-            ingress.metrics.retries_withheld.labels('service_tokens').inc()
+        is_unsent = reason in UNSENT_REASONS
+        if is_unsent and len(self.tried) < MOST_PLACEMENTS:
+            ingress.metrics.retry_children[reason].inc()
+            return True
+        return self.pay_retry(reason)
+
+    def pay_retry(self, reason: Reason) -> bool:
+        """Take a retry from both budgets; return False if one is empty."""
+        metrics = self.ingress.metrics
+        if not self.ingress.tokens(self.service).spend():
+            metrics.retries_withheld.labels('service_tokens').inc()
             return False
         if not self.origin.budget.spend():
-            ingress.metrics.retries_withheld.labels('request_budget').inc()
+            metrics.retries_withheld.labels('request_budget').inc()
             return False
-        ingress.metrics.retry_children[reason].inc()
+        metrics.retry_children[reason].inc()
         return True
 
     def choose_server(self, match: RouteMatch) -> NodeState:
@@ -409,14 +421,13 @@
             self.learn_success(match, server, answer)
         except AnswerRefusedError as error:
             spent = error.meta.retries_spent
-            view.succeed(error.meta)
+            view.learn_refusal(error.meta, error.refusal.reason)
             self.learn_deep(match, error.meta.level, error.meta.deep_level)
             raise
         except RefusedError as error:
             if error.refusal.verdict == Verdict.NOT_RUN:
                 spent = 0
-            if error.refusal.reason in LOST_REASONS:
-                view.fail()
+            view.learn_loss(error.refusal.reason)
             raise
         except TruncatedError:
             view.fail()
--- a/limpetshore/members.py
+++ b/limpetshore/members.py
@@ -72,15 +72,21 @@
         """Return the latest state of every node."""
         return [sighting.state for sighting in self.sightings.values()]
 
-    def update_own(self, status: Status, slots: int) -> bool:
+    def update_own(
+        self,
+        status: Status,
+        slots: int,
+        instance: str = '',
+    ) -> bool:
         """Publish a change of this node; return False if there is none."""
         own = self.own
-        if own.status == status and own.slots == slots:
+        if (own.status, own.slots, own.instance) == (status, slots, instance):
             return False
         self.insert(
             own._replace(
                 status=int(status),
                 slots=slots,
+                instance=instance,
                 revision=own.revision + 1,
             ),
         )
--- a/limpetshore/messages.py
+++ b/limpetshore/messages.py
@@ -69,7 +69,8 @@
 class NodeState(NamedTuple):
     """Spread by gossip: one node as its peers know it.
 
-    `revision` is raised by the node itself, `incarnation` at each start.
+    `revision` is raised by the node itself, `incarnation` at each start;
+    `instance` is the id of its backend server, empty if that has none.
     """
 
     name: str
@@ -82,6 +83,7 @@
     peers: str
     control: str
     slots: int
+    instance: str = ''
 
 
 class Digest(NamedTuple):
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -38,6 +38,7 @@
 logger = Logger(__name__)
 
 TICK_S = 0.5
+JOIN_POLL_S = 0.05
 GRANTED = 'granted'
 LEAVE_POLL_S = 0.05
 GC_THRESHOLDS = (20_000, 50, 100)
@@ -99,6 +100,7 @@
         self.build_servers()
         self.fleet.followers.append(self)
         self.members_seen = -1
+        self.recorded_instance: str | None = None
 
     def build_ingress(self) -> None:
         """Build what serves callers."""
@@ -224,6 +226,7 @@
             self.link.run,
             self.gossip.run,
             self.gossip.run_pushes,
+            self.recognize_backend,
             self.tick,
         ):
             self.tasks.start_soon(loop)
@@ -257,6 +260,23 @@
         for server in self.further_servers:
             server.stop()
 
+    async def recognize_backend(self) -> None:
+        """Ask the local server who it is if the node was here before."""
+        while self.link.is_joining or self.ingress.index is None:
+            await anyio.sleep(JOIN_POLL_S)
+        before = self.link.state_before
+        if before is None or self.guard.backend.announcement:
+            return
+        policy = self.ingress.index.policy
+        announcement = await self.surface.ask_backend(policy, before.slots)
+        if announcement is None or announcement.instance != before.instance:
+            return
+        if not self.guard.backend.announcement:
+            logger.info('the local server is {0}', announcement.instance)
+            self.guard.backend.take(announcement)
+            self.guard.follow_backend(is_new=True)
+            self.follow_own_state()
+
     async def tick(self) -> None:
         """Bring slowly changing state up to date, for ever."""
         while True:
@@ -273,7 +293,12 @@
             return
         accepts = self.guard.accepts_work
         status = Status.READY if accepts else Status.NOT_READY
-        if self.table.update_own(status, self.guard.backend.slots):
+        backend = self.guard.backend
+        if self.table.update_own(status, backend.slots, backend.instance):
+            is_new = backend.instance != self.recorded_instance
+            if status == Status.READY and is_new:
+                self.recorded_instance = backend.instance
+                self.link.record_wanted = True
             self.fleet.spread(self.table.own_name)
             self.gossip.push()
 
@@ -290,6 +315,7 @@
         """Follow a change of the member table."""
         self.fleet.follow_members()
         self.budgets.follow_members()
+        self.ingress.share_retries(self.table.count_present())
         service = self.settings.backend.service
         owners = self.standing.list_owners(service)
         if owners != self.standing.own_owners:
--- a/limpetshore/peers.py
+++ b/limpetshore/peers.py
@@ -119,6 +119,7 @@
             meta=meta,
             deadline=deadline,
             tasks=None,
+            origin=request,
         )
         await run_with_tasks(
             body,
@@ -212,6 +213,8 @@
     """Pass an answer on piece by piece."""
     headers = clean_headers(answer.head.headers, frozenset())
     sender.start(answer.head.status, [*headers, *extra])
+    if not exchange.has_chunk:
+        sender.request.flush_head()
     while chunk := await exchange.read_chunk():
         await sender.send_body(chunk, is_last=False)
     await sender.send_body(b'', is_last=True)
@@ -220,9 +223,16 @@
 class PeerExchange(Exchange):
     """Carry one call to the guard of another node."""
 
-    def __init__(self, pool: HttpPool, silence_s: float, stall_s: float):
+    def __init__(
+        self,
+        pool: HttpPool,
+        silence_s: float,
+        stall_s: float,
+        quiet_s: float,
+    ) -> None:
         """Use connections of a pool to the other node."""
         self.pool = pool
+        self.quiet_s = quiet_s
         self.silence_s = silence_s
         self.stall_s = stall_s
         self.connection: HttpConnection | None = None
@@ -259,11 +269,16 @@
     async def wait_head(self, request: OutboundRequest) -> ResponseHead:
         """Wait for an answer, asking on a new connection when all is silent."""
         patience = self.silence_s
+        asked_at = clock.now()
         lost_probes = 0
         while clock.now() < request.deadline:
             left = request.deadline - clock.now()
             with contextlib.suppress(TimeoutError):
-                return await self.connection.read_head(min(patience, left))
+                return await self.connection.read_head(min(self.quiet_s, left))
+            is_heard = clock.now() < self.pool.heard_at + self.quiet_s
+            if is_heard and clock.now() < asked_at + patience:
+                continue
+            asked_at = clock.now()
             reply = await self.probe(request)
             lost_probes = 0 if reply else lost_probes + 1
             if lost_probes >= PROBES_UNTIL_LOST:
@@ -322,6 +337,11 @@
             except TruncatedError:
                 return
 
+    @property
+    def has_chunk(self) -> bool:
+        """Tell whether `read_chunk` returns without waiting."""
+        return self.connection.has_chunk
+
     async def read_chunk(self) -> bytes:
         """Return the next piece of the answer, empty at its end."""
         return await read_chunk_within(self.connection, self.stall_s)
--- a/limpetshore/platform/configuration.py
+++ b/limpetshore/platform/configuration.py
@@ -14,6 +14,7 @@
     Importance,
     Policy,
     Route,
+    ServiceRecord,
     SplitPart,
     hash_key,
 )
@@ -35,6 +36,10 @@
             name: build_customer(entry)
             for name, entry in configuration.customers.items()
         },
+        services={
+            name: ServiceRecord(entry.health_path)
+            for name, entry in configuration.services.items()
+        },
         routes={
             name: build_route(entry)
             for name, entry in configuration.routes.items()
--- /dev/null
+++ b/limpetshore/platform/health.py
@@ -0,0 +1,46 @@
+"""Ask the local backend server who it is, before it announces itself."""
+
+import anyio
+from logbook import Logger
+
+from limpetshore.backends import Announcement
+from limpetshore.errors import TransportError
+from limpetshore.httpclient import HttpPool
+from limpetshore.messages import take_header
+from limpetshore.platform import wire
+from limpetshore.settings import NodeSettings, parse_address
+
+logger = Logger(__name__)
+
+TIMEOUT_S = 0.5
+OK = 200
+
+
+async def ask_server(
+    settings: NodeSettings,
+    health_path: str,
+    slots: int,
+) -> Announcement | None:
+    """Return what a server says that was known to have `slots`."""
+    address = parse_address(settings.backend.address)
+    head = None
+    try:
+        with anyio.fail_after(TIMEOUT_S):
+            async with HttpPool(address, 0).lend() as connection:
+                await connection.send_head(
+                    b'GET',
+                    health_path.encode(),
+                    [(b'host', str(address).encode())],
+                )
+                head = await connection.read_head()
+    except (TransportError, TimeoutError) as error:
+        logger.info('the local server does not answer: {0}', error)
+    if head is None or head.status != OK:
+        return None
+    instance = (take_header(head.headers, wire.INSTANCE) or b'').decode()
+    return Announcement(
+        state=wire.READY,
+        slots=slots,
+        boot=f'{instance}.asked',
+        instance=instance,
+    )
--- a/limpetshore/platform/heartbeats.py
+++ b/limpetshore/platform/heartbeats.py
@@ -5,6 +5,7 @@
 import msgspec
 from logbook import Logger
 
+from limpetshore import clock
 from limpetshore.backends import Announcement
 from limpetshore.bodies import CallerGoneError, RequestBody
 from limpetshore.errors import RefusedError
@@ -17,6 +18,7 @@
 PREFIX = '/instances/'
 MAX_HEARTBEAT_BYTES = 16384
 STALL_S = 2
+MS_IN_S = 1000
 OK = 200
 BAD_REQUEST = 400
 NOT_FOUND = 404
@@ -34,6 +36,7 @@
         self.guard = guard
         self.on_announcement = on_announcement
         self.newest = (0, 0)
+        self.left: dict[str, int] = {}  # by id, the birth it left with
 
     async def serve(self, request: ServerRequest) -> None:
         """Acknowledge one announcement or departure."""
@@ -85,7 +88,7 @@
             )
             return BAD_REQUEST
         order = (heartbeat.born, heartbeat.sequence)
-        if order < self.newest:
+        if order < self.newest or heartbeat.born <= self.left.get(instance, -1):
             return OK
         self.newest = order
         self.follow(
@@ -100,8 +103,10 @@
 
     def take_departure(self, instance: str) -> None:
         """Give the server nothing more."""
+        self.left[instance] = int(clock.wall_time() * MS_IN_S)
         known = self.guard.backend.announcement
         if known is not None and known.instance == instance:
+            self.left[instance] = self.newest[0]
             self.follow(known._replace(state=wire.DRAINING))
 
     def follow(self, announcement: Announcement) -> None:
--- a/limpetshore/platform/surface.py
+++ b/limpetshore/platform/surface.py
@@ -1,12 +1,15 @@
 """Put together all through which a node meets the platform."""
 
+from limpetshore.backends import Announcement
 from limpetshore.metrics import Metrics
 from limpetshore.platform.dialects import (
     PlatformBackendDialect,
     PlatformCallerDialect,
 )
+from limpetshore.platform.health import ask_server
 from limpetshore.platform.heartbeats import HeartbeatApp
 from limpetshore.platform.store import PlatformStore
+from limpetshore.policies import Policy
 from limpetshore.serving import CallApp, CallServer, ServerRequest
 from limpetshore.settings import NodeSettings, parse_address
 from limpetshore.store import HttpStoreClient, ObjectStore
@@ -36,6 +39,17 @@
         )
         return PlatformStore(client)
 
+    async def ask_backend(
+        self,
+        policy: Policy,
+        slots: int,
+    ) -> Announcement | None:
+        """Ask the local server who it is, after a restart of the node."""
+        service = policy.services.get(self.settings.backend.service)
+        if service is None:
+            return None
+        return await ask_server(self.settings, service.health_path, slots)
+
     def build_servers(self, node: ServedNode) -> list[CallServer]:
         """Return the servers for heartbeats and readiness."""
         platform = self.settings.platform
--- a/limpetshore/platform/wire.py
+++ b/limpetshore/platform/wire.py
@@ -72,12 +72,19 @@
     burst: float = 0
 
 
+class ServiceEntry(msgspec.Struct):
+    """Hold one service."""
+
+    health_path: str
+
+
 class Configuration(msgspec.Struct):
     """Hold the whole configuration of one version."""
 
     version: int
     routes: dict[str, RouteEntry]
     customers: dict[str, CustomerEntry] = {}
+    services: dict[str, ServiceEntry] = {}
 
 
 class ObjectMetadata(msgspec.Struct):
--- a/limpetshore/policies.py
+++ b/limpetshore/policies.py
@@ -80,6 +80,12 @@
     retries: Annotated[int, msgspec.Meta(ge=0, le=10)] = 2
 
 
+class ServiceRecord(NamedTuple):
+    """Say how to ask a server of a service whether it is well."""
+
+    health_path: Path
+
+
 class AcceptedTicket(NamedTuple):
     """Remember a ticket that was accepted."""
 
@@ -96,6 +102,7 @@
     routes: dict[str, Route] = {}
     drained: tuple[str, ...] = ()
     accepted: tuple[AcceptedTicket, ...] = ()
+    services: dict[str, ServiceRecord] = {}
 
 
 class KeyOwner(NamedTuple):
@@ -251,6 +258,10 @@
             },
             'drained': policy.drained,
             'accepted': [ticket._asdict() for ticket in policy.accepted],
+            'services': {
+                name: record._asdict()
+                for name, record in policy.services.items()
+            },
         }
     )
 
@@ -271,6 +282,7 @@
             'drained',
             mistakes,
         ),
+        services=build_records(ServiceRecord, tables, 'services', mistakes),
         accepted=tuple(
             build_record(AcceptedTicket, ticket, 'accepted', mistakes)
             for ticket in tables.get('accepted', [])
--- a/limpetshore/serving.py
+++ b/limpetshore/serving.py
@@ -132,6 +132,12 @@
             self.connection.write(head + piece)
         self.is_answered = is_last
 
+    def flush_head(self) -> None:
+        """Write the head at once, since the body is not there yet."""
+        if self.unsent_head:
+            self.connection.write(self.unsent_head)
+            self.unsent_head = b''
+
     def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a whole answer at once."""
         self.start_answer(status, headers)
--- a/limpetshore/settings.py
+++ b/limpetshore/settings.py
@@ -72,6 +72,8 @@
     replay_bytes: Annotated[int, msgspec.Meta(ge=0, le=1048576)] = 65536
     stall_s: Seconds = 10
     silence_s: Seconds = 2
+    quiet_s: Seconds = 2
+    connect_s: Seconds = 1
     max_idle_s: Seconds = 30
     max_depth: Annotated[int, msgspec.Meta(ge=1, le=64)] = 12
     graceful_s: Seconds = 30
@@ -87,6 +89,7 @@
     probe_s: Seconds = 5
     level_half_life_s: Seconds = 0.5
     retry_tokens: Annotated[float, msgspec.Meta(ge=0, le=10000)] = 20
+    fleet_retry_tokens: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 0
     retry_earning: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
 
 
@@ -173,6 +176,10 @@
         'Seconds without an answer until the other node is asked on a new '
         'connection whether the call arrived'
     ),
+    'call.quiet_s': (
+        'Seconds without a byte from a node until it is asked whether it lives'
+    ),
+    'call.connect_s': 'Seconds a new connection may take to open',
     'call.max_idle_s': 'Seconds a connection may idle and still be used again',
     'call.max_depth': 'Deepest chain of nested calls',
     'call.graceful_s': 'Seconds a shutdown waits for open requests',
@@ -189,6 +196,10 @@
         'Seconds until a reported admission level counts half'
     ),
     'admission.retry_tokens': 'Most retries saved up for each service',
+    'admission.fleet_retry_tokens': (
+        'If above 0, most retries saved up for each service by all nodes '
+        'together, which replaces `retry_tokens`'
+    ),
     'admission.retry_earning': 'Retries earned by each whole answer',
     'fleet.seeds': 'Control addresses asked first after a start',
     'fleet.peers': 'Number of nodes this node exchanges state with',
--- a/limpetshore/surfaces.py
+++ b/limpetshore/surfaces.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from typing import Protocol
 
+from limpetshore.backends import Announcement
 from limpetshore.dialects import (
     BackendDialect,
     CallerDialect,
@@ -11,6 +12,7 @@
 )
 from limpetshore.guard import Guard
 from limpetshore.metrics import Metrics
+from limpetshore.policies import Policy
 from limpetshore.serving import CallServer
 from limpetshore.settings import NodeSettings, parse_address
 from limpetshore.store import HttpObjectStore, ObjectStore
@@ -43,6 +45,13 @@
     def build_store(self, metrics: Metrics) -> ObjectStore:
         """Return the store in which all that lasts is kept."""
 
+    async def ask_backend(
+        self,
+        policy: Policy,
+        slots: int,
+    ) -> Announcement | None:
+        """Ask the local server who it is; by default it tells by itself."""
+
     @abstractmethod
     def build_servers(self, node: ServedNode) -> list[CallServer]:
         """Return further servers that run beside those of the node."""
--- a/limpetshore/verdicts.py
+++ b/limpetshore/verdicts.py
@@ -82,6 +82,20 @@
 )
 
 
+# No server has seen a request that was refused for one of these.
+UNSENT_REASONS = frozenset((Reason.DRAINING, Reason.UNREACHABLE))
+
+# Nothing more was heard from a server.
+LOST_REASONS = frozenset(
+    (
+        Reason.BROKEN,
+        Reason.SILENT,
+        Reason.TRUNCATED,
+        Reason.UNREACHABLE,
+    )
+)
+
+
 class Refusal(NamedTuple):
     """Describe a refused request; `retry_after` is in seconds."""
 
--- a/limpetshore/watching.py
+++ b/limpetshore/watching.py
@@ -53,6 +53,14 @@
         self.chance = chance
         self.revision: int | None = None
         self.plan_wanted_since: float | None = None
+        self.own_version = MUST_NOT_EXIST
+        self.record_wanted = False
+        self.state_before: NodeState | None = None
+
+    @property
+    def is_joining(self) -> bool:
+        """Tell whether this node has not recorded itself yet."""
+        return self.fleet.table.is_joining
 
     async def run(self) -> None:
         """Join, then watch while it is this node's turn, for ever."""
@@ -85,6 +93,10 @@
         if self.fleet.table.is_joining:
             await self.join()
             self.revision = None  # others may have joined since it was read
+            await self.catch_up()
+            await self.gossip.greet()
+        elif self.record_wanted:
+            await self.record_own()
         is_stale = self.fleet.standing.store_age > STALE_S
         if not self.is_watcher() and not is_stale:
             self.revision = None
@@ -138,13 +150,29 @@
         stored = await self.store.get(NODES, name)
         if stored is not None:
             self.take_node(stored)
+            self.state_before = read_ready_state(stored)
         expected = stored.version if stored else MUST_NOT_EXIST
         content = msgspec.json.encode(table.own)
-        await self.store.put(NODES, name, content, expected)
+        self.own_version = await self.store.put(NODES, name, content, expected)
         table.is_joining = False
         self.fleet.keeper.incarnation = table.own.incarnation
         logger.info('joined', extra={'incarnation': table.own.incarnation})
 
+    async def record_own(self) -> None:
+        """Record this node as it is now, for those who join later."""
+        self.record_wanted = False
+        table = self.fleet.table
+        content = msgspec.json.encode(table.own)
+        try:
+            self.own_version = await self.store.put(
+                NODES,
+                table.own_name,
+                content,
+                self.own_version,
+            )
+        except StoreConflictError as error:
+            logger.warning('own record not written: {0}', error)
+
     def is_watcher(self) -> bool:
         """Tell whether this node is among those that watch for its zone."""
         table = self.fleet.table
@@ -247,3 +275,12 @@
         if without != current.ledger:
             await self.write_ledger(encode_ledger(without), current.version)
         await self.remove(name)
+
+
+def read_ready_state(stored: StoredObject) -> NodeState | None:
+    """Return the state in the record of a node that was ready."""
+    try:
+        state = msgspec.json.decode(stored.content or b'', type=NodeState)
+    except msgspec.MsgspecError:
+        return None
+    return state if state.status == Status.READY else None
