Do less for each call on the hot path

In a closed loop on loopback (4,000 calls) a call cost 0.57 ms at the entry and 0.51 ms at the guard: no single hot spot, some 400 Python calls each.

--- a/limpetshore/ingress.py
+++ b/limpetshore/ingress.py
@@ -89,9 +89,11 @@
 
     async def serve(self, request: ServerRequest) -> None:
         """Serve one request."""
-        handling = Handling(self, request)
-        with self.metrics.report_defects('ingress'):
-            await handling.run()
+        try:
+            await Handling(self, request).run()
+        except Exception:
+            self.metrics.report_defect('ingress')
+            raise
 
     def pool(self, address: str) -> HttpPool:
         """Return the connections to another node."""
@@ -238,6 +240,20 @@
         body = self.open_body()
         first = await body.read_first(self.ingress.settings.call.replay_bytes)
         request = self.build_request(match, body, first)
+        if body.is_complete:
+            failure = await self.attempt_until_answered(match, request)
+        else:
+            failure = await self.attempt_with_rest(match, request, body)
+        if failure is not None:
+            raise failure
+
+    async def attempt_with_rest(
+        self,
+        match: RouteMatch,
+        request: OutboundRequest,
+        body: RequestBody,
+    ) -> Exception | None:
+        """Try servers while the rest of the body still comes."""
         failure: Exception | None = None
 
         async def try_servers(tasks: TaskGroup | None) -> None:  # noqa: WPS430
@@ -248,8 +264,7 @@
             )
 
         await run_with_tasks(body, try_servers)
-        if failure is not None:
-            raise failure
+        return failure
 
     def check_levels(self, match: RouteMatch) -> None:
         """Refuse early what a server further down would refuse late."""
--- a/limpetshore/messages.py
+++ b/limpetshore/messages.py
@@ -34,6 +34,9 @@
 )
 
 
+PLAIN_CONNECTION = frozenset((b'close', b'keep-alive'))
+
+
 class CallMeta(NamedTuple):
     """Travel with a call from the ingress to the guard."""
 
@@ -222,14 +225,13 @@
     [(b'a', b'1')]
     """
     listed = take_header(headers, b'connection')
-    named = frozenset(
-        token.strip().lower() for token in (listed or b'').split(b',')
-    )
+    if listed is None or listed.lower() in PLAIN_CONNECTION:
+        unwanted = HOP_BY_HOP | dropped
+    else:
+        named = (token.strip().lower() for token in listed.split(b','))
+        unwanted = HOP_BY_HOP | dropped | frozenset(named)
     return [
         header
         for header in headers
-        if header[0] not in HOP_BY_HOP
-        and header[0] not in dropped
-        and header[0] not in named
-        and not header[0].startswith(PREFIX)
+        if header[0] not in unwanted and not header[0].startswith(PREFIX)
     ]
--- a/limpetshore/metrics.py
+++ b/limpetshore/metrics.py
@@ -137,10 +137,14 @@
         try:
             yield
         except Exception:
-            self.defects.labels(role).inc()
-            logger.exception('a call ended by a defect')
+            self.report_defect(role)
             raise
 
+    def report_defect(self, role: str) -> None:
+        """Count and log the defect that is being handled."""
+        self.defects.labels(role).inc()
+        logger.exception('a call ended by a defect')
+
     def count_refusal(self, role: str, refusal: Refusal) -> None:
         """Count one refusal."""
         labels = (role, refusal.reason, refusal.verdict)
--- a/limpetshore/peers.py
+++ b/limpetshore/peers.py
@@ -83,8 +83,11 @@
             self.guard.metrics.bad_input.labels('peer_call').inc()
             send_refusal(sender, self.dialect.render(error.refusal, ''))
             return
-        with self.guard.metrics.report_defects('guard'):
+        try:
             await self.serve_call(request, sender, meta)
+        except Exception:
+            self.guard.metrics.report_defect('guard')
+            raise
 
     async def serve_call(
         self,
