--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -39,6 +39,7 @@
 
 TICK_S = 0.5
 JOIN_POLL_S = 0.05
+EXIT_MARGIN_S = 0.6
 GRANTED = 'granted'
 LEAVE_POLL_S = 0.05
 GC_THRESHOLDS = (20_000, 50, 100)
@@ -204,10 +205,11 @@
     async def leave(self) -> None:
         """Send new work elsewhere, finish what runs, close the ports."""
         logger.info('leaving')
+        gone_by = clock.now() + self.settings.call.graceful_s - EXIT_MARGIN_S
         self.announce_leaving()
         await self.link.leave()
         await anyio.sleep(self.settings.call.drain_notice_s)
-        await self.finish_calls()
+        await self.finish_calls(max(0, gone_by - clock.now()))
         logger.info('left')
 
     async def start(self) -> None:
@@ -241,21 +243,21 @@
         self.keeper.is_leaving = True
         self.ingress.is_leaving = True
         self.callers_server.announce_stop()
-        self.table.update_own(Status.LEFT, self.guard.backend.slots)
+        backend = self.guard.backend
+        self.table.update_own(Status.LEFT, backend.slots, backend.instance)
         self.fleet.spread(self.table.own_name)
         self.gossip.push()
 
-    async def finish_calls(self) -> None:
+    async def finish_calls(self, within_s: float) -> None:
         """Let every open request end, nested calls before their callers."""
-        graceful_s = self.settings.call.graceful_s
         self.peers_server.stop()
-        with anyio.move_on_after(graceful_s):
+        with anyio.move_on_after(within_s):
             while self.guard.running.calls:
                 await anyio.sleep(LEAVE_POLL_S)
-        self.callers_server.stop()
-        with anyio.move_on_after(graceful_s):
+            self.callers_server.stop()
             await self.peers_server.wait_stopped()
             await self.callers_server.wait_stopped()
+        self.callers_server.stop()
         self.admin_server.stop()
         for server in self.further_servers:
             server.stop()
--- a/limpetshore/watching.py
+++ b/limpetshore/watching.py
@@ -274,13 +274,13 @@
         without = leave_ledger(current.ledger, name)
         if without != current.ledger:
             await self.write_ledger(encode_ledger(without), current.version)
-        await self.remove(name)
+        await self.record_own()
 
 
 def read_ready_state(stored: StoredObject) -> NodeState | None:
-    """Return the state in the record of a node that was ready."""
+    """Return the state in the record of a node, if it had a server."""
     try:
         state = msgspec.json.decode(stored.content or b'', type=NodeState)
     except msgspec.MsgspecError:
         return None
-    return state if state.status == Status.READY else None
+    return state if state.status in {Status.READY, Status.LEFT} else None
