--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,5 +1,7 @@
 """Build test data."""
 
+from limpetshore.members import Status
+from limpetshore.messages import NodeState
 from limpetshore.policies import Customer, Policy, Route, hash_key
 from limpetshore.tickets import Ticket
 
@@ -75,3 +77,20 @@
             'open': {'path': '/open', 'service': 'yard', 'is_open': True},
         },
     }
+
+
+def build_node_state(name='node-a', **changes):
+    """Return the state of a node of the service stock."""
+    state = NodeState(
+        name=name,
+        incarnation=5,
+        revision=0,
+        status=int(Status.READY),
+        service='stock',
+        zone='zone-a',
+        region='region',
+        peers='10.0.0.1:7001',
+        control='10.0.0.1:7002',
+        slots=10,
+    )
+    return state._replace(**changes)
--- /dev/null
+++ b/tests/test_conserved.py
@@ -0,0 +1,181 @@
+"""Check budgets whose tokens are conserved among the nodes that own them."""
+
+import random
+
+import anyio
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from limpetshore import clock
+from limpetshore.borrowing import Borrower, Lender
+from limpetshore.conserved import ConservedBudgets, find_owners
+from limpetshore.errors import RefusedError
+from limpetshore.members import MemberTable, Status
+from limpetshore.messages import LendRequest
+from limpetshore.policies import Customer
+from limpetshore.verdicts import Reason
+from tests.builders import build_node_state
+from tests.paused import run_paused
+
+WINDOW_S = 5
+
+
+class MemoryLender(Lender):
+    """Carry asks between budgets in memory, or lose them."""
+
+    def __init__(self, budgets, chance, loss=0.0):
+        """Reach the budgets by the name of their node."""
+        self.budgets = budgets
+        self.chance = chance
+        self.loss = loss
+
+    async def ask(self, name, request):
+        """Ask one node; a lost reply loses the tokens."""
+        await anyio.sleep(0.003)
+        given = self.budgets[name].lend(request).given
+        return 0 if self.chance.random() < self.loss else given
+
+
+def build_budgets(count, customer, chance):
+    """Return the budgets of several nodes that know each other."""
+    names = [f'node-{number}' for number in range(count)]
+    found = {}
+    for name in names:
+        table = MemberTable(build_node_state(name=name))
+        for other in names:
+            table.merge(build_node_state(name=other, status=int(Status.READY)))
+        budgets = ConservedBudgets(table, chance)
+        budgets.follow_members()
+        budgets.follow_policy({'harbour': customer})
+        found[name] = budgets
+    return found
+
+
+async def play(chance, *, nodes, customer, rates, seconds, loss=0.0):
+    """Offer requests at each node; return when each was let pass."""
+    budgets = build_budgets(nodes, customer, chance)
+    passed, refused = [], []
+
+    async def offer(borrower, rate):
+        while True:
+            await anyio.sleep(chance.expovariate(rate))
+            tasks.start_soon(one, borrower)
+
+    async def one(borrower):
+        try:
+            await borrower.spend('harbour')
+        except RefusedError as error:
+            assert error.refusal.reason == Reason.RATE
+            refused.append(clock.now())
+        else:
+            passed.append(clock.now())
+
+    async with anyio.create_task_group() as tasks:
+        lender = MemoryLender(budgets, chance, loss)
+        for rate, own in zip(rates, budgets.values(), strict=True):
+            borrower = Borrower(own, lender, tasks, 0.05)
+            if rate:
+                tasks.start_soon(offer, borrower, rate)
+        await anyio.sleep(seconds)
+        tasks.cancel_scope.cancel()
+    return passed, refused
+
+
+def most_in_window(times):
+    """Return the most events in any window."""
+    most, first = 0, 0
+    for last, now in enumerate(times):
+        while times[first] < now - WINDOW_S:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize('loss', [0, 0.3])
+def test_never_above_rate_and_burst(seed, loss):
+    """Offer seven times the rate, as a customer that runs hot does."""
+    chance = random.Random(seed)
+    customer = Customer(rate=50, burst=60)
+    rates = [chance.choice([0, 5, 60, 100]) for _ in range(8)]
+
+    async def run():
+        return await play(
+            chance,
+            nodes=8,
+            customer=customer,
+            rates=rates,
+            seconds=30,
+            loss=loss,
+        )
+
+    passed, _ = run_paused(run)
+    assert most_in_window(sorted(passed)) <= 50 * WINDOW_S + 60
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_inside_the_rate_nothing_is_refused(seed):
+    """Send all requests of a customer to two of eight nodes."""
+    chance = random.Random(seed)
+    customer = Customer(rate=50, burst=60)
+
+    async def run():
+        return await play(
+            chance,
+            nodes=8,
+            customer=customer,
+            rates=[20, 10, 0, 0, 0, 0, 0, 0],
+            seconds=60,
+        )
+
+    passed, refused = run_paused(run)
+    assert len(refused) <= 0.005 * len(passed + refused)
+
+
+def test_restarted_node_starts_empty():
+    """Give a node that comes back no burst a second time."""
+
+    async def run():
+        budgets = build_budgets(
+            1,
+            Customer(rate=10, burst=100),
+            random.Random(1),
+        )
+        return budgets['node-0'].take('harbour')
+
+    assert run_paused(run) is False
+
+
+def test_lender_subtracts_before_it_gives():
+    """Keep the sum of tokens when some are given away."""
+
+    async def run():
+        budgets = build_budgets(
+            2,
+            Customer(rate=10, burst=100),
+            random.Random(1),
+        )
+        await anyio.sleep(20)
+        one, other = budgets.values()
+        given = one.lend(LendRequest('harbour', 20)).given
+        other.put('harbour', given)
+        return [own.buckets['harbour'].tokens for own in budgets.values()]
+
+    kept, received = run_paused(run)
+    assert kept == 30
+    assert received == 50  # no owner holds more than its part
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.integers(1, 400),
+    st.lists(st.text('abc', min_size=1), min_size=1, unique=True),
+)
+def test_owners_are_the_same_from_every_side(burst, names):
+    """Name the same owners in whatever order members are known."""
+    names = sorted(names)
+    owners = find_owners('harbour', burst, names)
+    assert 1 <= len(owners) <= len(names)
+    assert set(owners) <= set(names)
+    assert set(find_owners('harbour', burst, names)) == set(owners)
