Place around reused addresses, notice overdue answers, shed at the edge

The address of a machine that was gone belonged to a node of another service, whose quick refusals made it look idle. A newer node at an address now hides the older one, and such a refusal puts the server aside and costs no retry. Ruled out: tables that differ (the old node was suspected). A node now reports the share of its server's calls that found no room, and the edge sheds the routes that fail for it, least important first. Answers that take six deviations longer than usual are asked for elsewhere if the retry budgets allow. The log goes to standard output, bounded.

--- a/limpetshore/conserved.py
+++ b/limpetshore/conserved.py
@@ -106,7 +106,7 @@
         """Follow who is a member; the dead keep their part till they leave."""
         names = sorted(
             state.name
-            for state in self.table.states()
+            for state in self.table.current_states()
             if state.status != Status.LEFT
         )
         if names != self.names:
--- a/limpetshore/exchanges.py
+++ b/limpetshore/exchanges.py
@@ -1,7 +1,7 @@
 """Have one request answered, by the local server or through another node."""
 
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import NamedTuple
 
 from anyio.abc import TaskGroup
@@ -20,11 +20,18 @@
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
 
+def never() -> bool:
+    """Forbid what may be forbidden."""
+    return False
+
+
 class OutboundRequest(NamedTuple):
     """Hold a request on its way; `deadline` is on the local clock.
 
     `first` is the part of the body already read, `rest` what follows, sent
     by a task of its own in `tasks`. `origin` is the request as it came in.
+    After `patience_s` the answer is overdue; `may_abandon` tells whether the
+    request may then be sent to another server instead.
     """
 
     method: bytes
@@ -37,6 +44,8 @@
     deadline: float
     tasks: TaskGroup | None
     origin: ServerRequest | None = None
+    patience_s: float | None = None
+    may_abandon: Callable[[], bool] = never
 
 
 class Answer(NamedTuple):
--- a/limpetshore/fleet.py
+++ b/limpetshore/fleet.py
@@ -93,7 +93,14 @@
         logger.info(
             'policy of ticket {0} in force',
             index.policy.number,
-            extra={'version': document.version},
+            extra={
+                'version': document.version,
+                'routes': len(index.policy.routes),
+                'customers': {
+                    name: customer.importance or customer.most_important
+                    for name, customer in index.policy.customers.items()
+                },
+            },
         )
 
     def merge(self, state: NodeState) -> bool:
--- a/limpetshore/guard.py
+++ b/limpetshore/guard.py
@@ -45,6 +45,7 @@
 from limpetshore.policies import Importance
 from limpetshore.repeats import RequestLog, parse_request_id
 from limpetshore.settings import NodeSettings, parse_address
+from limpetshore.shedding import TurnedAway
 from limpetshore.standing import Standing
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
@@ -79,6 +80,7 @@
             settings.backend.announce_lapse_s,
         )
         self.running = RunningCalls()
+        self.turned_away = TurnedAway()
         self.arrivals = ArrivalLog()
         self.open_calls: set[str] = set()
         self.requests = RequestLog(
@@ -124,6 +126,11 @@
         is_voided = self.arrivals.void(request.call_id, request.age)
         return ProbeReply(not is_voided, request.call_id in self.open_calls)
 
+    def find_deep_level(self, call: RunningCall | None) -> float:
+        """Return what calls below met, of one call or of all of late."""
+        level = call.deep_level if call else 0
+        return round(max(level, self.turned_away.read()), 3)
+
     def describe_answer(
         self,
         refusal: Refusal | None = None,
@@ -136,7 +143,7 @@
             retry_after=refusal.retry_after if refusal else 0,
             retries_spent=call.budget.spent if call else 0,
             level=round(self.admission.level.read(), 3),
-            deep_level=round(call.deep_level, 3) if call else 0,
+            deep_level=self.find_deep_level(call),
             load=round(self.admission.load, 3),
         )
 
--- a/limpetshore/ingress.py
+++ b/limpetshore/ingress.py
@@ -15,6 +15,7 @@
 )
 from limpetshore.budgets import RetryTokens, is_retry_safe
 from limpetshore.callers import (
+    ANONYMOUS,
     Callers,
     Origin,
 )
@@ -28,6 +29,7 @@
 )
 from limpetshore.guard import Guard, GuardExchange
 from limpetshore.httpclient import Headers, HttpPool
+from limpetshore.latencies import LatencyEstimate
 from limpetshore.levels import ReportedLevel, should_refuse
 from limpetshore.messages import (
     CallMeta,
@@ -41,11 +43,12 @@
     pass_on,
     run_with_tasks,
 )
-from limpetshore.policies import PolicyIndex, RouteMatch
+from limpetshore.policies import Importance, PolicyIndex, RouteMatch
 from limpetshore.randomness import random_pool
 from limpetshore.repeats import find_owner
 from limpetshore.serving import CallApp, ServerRequest
 from limpetshore.settings import NodeSettings, parse_address
+from limpetshore.shedding import CLEAR_SIGN, EdgeShedding
 from limpetshore.splits import Splitter
 from limpetshore.standing import Standing
 from limpetshore.verdicts import UNSENT_REASONS, Reason, Refusal, Verdict
@@ -53,6 +56,9 @@
 logger = Logger(__name__)
 
 MOST_PLACEMENTS = 6
+SERVER_ERROR = 500
+RETURN_S = (0.4, 1.2)
+NO_ROOM_REASONS = frozenset((Reason.OVERLOADED, Reason.DEADLINE))
 SMALL_ANSWER_BYTES = 65536
 DEEP_LEVEL_WEIGHT = 0.2
 
@@ -84,6 +90,8 @@
         self.deep_levels: dict[str, ReportedLevel] = {}
         self.is_leaving = False
         self.splitter = Splitter()
+        self.shedding = EdgeShedding(chance)
+        self.latencies: dict[str, LatencyEstimate] = {}
         self.most_retry_tokens = settings.admission.retry_tokens
         self.share_retries(1)
 
@@ -116,6 +124,14 @@
             self.retry_tokens[service] = found
         return found
 
+    def latency(self, route: str) -> LatencyEstimate:
+        """Return the estimate for the answers on a route."""
+        found = self.latencies.get(route)
+        if found is None:
+            found = LatencyEstimate()
+            self.latencies[route] = found
+        return found
+
     def share_retries(self, nodes: int) -> None:
         """Divide the retries that the fleet may save up among its nodes."""
         total = self.settings.admission.fleet_retry_tokens
@@ -175,6 +191,8 @@
         self.origin: Origin | None = None
         self.service = ''
         self.customer = ''
+        self.is_repeatable = False
+        self.is_nested = False
         self.dialect = ingress.callers.dialect
 
     async def run(self) -> None:
@@ -184,6 +202,8 @@
         except RefusedError as error:
             self.ingress.metrics.count_refusal('ingress', error.refusal)
             self.log_refusal(error.refusal)
+            if self.is_nested:
+                self.learn_nested(error.refusal)
             if not self.sender.has_started:
                 rendered = self.dialect.render(error.refusal, self.name.text)
                 send_refusal(self.sender, rendered)
@@ -229,6 +249,9 @@
             self.name.text,
         )
         self.service = self.ingress.splitter.choose(match)
+        self.is_repeatable = match.route.is_repeatable
+        is_anonymous = self.origin.context.customer == ANONYMOUS
+        self.is_nested = is_anonymous and match.route.is_open
         try:
             await self.have_answered(match)
         finally:
@@ -268,6 +291,9 @@
 
     def check_levels(self, match: RouteMatch) -> None:
         """Refuse early what a server further down would refuse late."""
+        if self.is_nested:
+            return  # what has begun is finished first
+        self.check_shedding(match)
         ingress = self.ingress
         importance = self.origin.context.importance
         levels = (
@@ -281,6 +307,23 @@
                 retry_after=1,
             )
 
+    def check_shedding(self, match: RouteMatch) -> None:
+        """Refuse early what servers would work on in vain."""
+        shedding = self.ingress.shedding
+        importance = self.origin.context.importance
+        rank = importance * len(Importance) + match.importance
+        if not shedding.admits(match.name, rank):
+            raise refuse(
+                Reason.OVERLOADED,
+                'calls further down find no room',
+                retry_after=self.ingress.chance.uniform(*RETURN_S),
+            )
+
+    def learn_nested(self, refusal: Refusal | None) -> None:
+        """Note whether a call of the local server found room."""
+        is_refused = refusal is not None and refusal.reason in NO_ROOM_REASONS
+        self.ingress.guard.turned_away.count(is_refused=is_refused)
+
     def open_body(self) -> RequestBody:
         """Return the request body, to be read in bounded memory."""
         call = self.ingress.settings.call
@@ -377,6 +420,14 @@
             return True
         return self.pay_retry(reason)
 
+    def may_abandon(self) -> bool:
+        """Tell whether an overdue answer can be asked for elsewhere."""
+        return (
+            self.is_repeatable
+            and self.origin.budget.left > 0
+            and self.ingress.tokens(self.service).tokens >= 1
+        )
+
     def pay_retry(self, reason: Reason) -> bool:
         """Take a retry from both budgets; return False if one is empty."""
         metrics = self.ingress.metrics
@@ -420,20 +471,17 @@
         self.tried.append(server.name)
         view = self.ingress.balancer.view(server.name)
         lent = self.origin.budget.lend()
-        left_ms = int((request.deadline - clock.now()) * MS_IN_S)
-        meta = request.meta._replace(
-            call_id=random_pool.take_hex(ID_BYTES),
-            timeout_ms=max(1, left_ms),
-            retries_left=lent,
-        )
+        estimate = self.ingress.latency(match.name)
+        sent_at = clock.now()
+        sent = self.prepare_attempt(request, lent, estimate.patience())
         exchange = self.ingress.open_exchange(server)
         spent = lent  # what an attempt spent that ends without a word
         view.in_flight += 1
         try:
-            answer = await exchange.open(request._replace(meta=meta))
+            answer = await exchange.open(sent)
+            estimate.observe(clock.now() - sent_at)
             spent = answer.meta.retries_spent
-            await self.deliver(exchange, answer)
-            self.learn_success(match, server, answer)
+            await self.deliver_and_learn(match, server, exchange, answer)
         except AnswerRefusedError as error:
             spent = error.meta.retries_spent
             view.learn_refusal(error.meta, error.refusal.reason)
@@ -452,6 +500,43 @@
             self.origin.budget.settle(lent, spent)
             await exchange.close()
 
+    def prepare_attempt(
+        self,
+        request: OutboundRequest,
+        lent: int,
+        patience_s: float | None,
+    ) -> OutboundRequest:
+        """Return the request as one attempt sends it."""
+        left_ms = int((request.deadline - clock.now()) * MS_IN_S)
+        meta = request.meta._replace(
+            call_id=random_pool.take_hex(ID_BYTES),
+            timeout_ms=max(1, left_ms),
+            retries_left=lent,
+        )
+        return request._replace(
+            meta=meta,
+            patience_s=patience_s,
+            may_abandon=self.may_abandon,
+        )
+
+    async def deliver_and_learn(
+        self,
+        match: RouteMatch,
+        server: NodeState,
+        exchange: Exchange,
+        answer: Answer,
+    ) -> None:
+        """Pass an answer on and learn once it is whole."""
+        has_failed = answer.head.status >= SERVER_ERROR
+        self.ingress.shedding.observe(
+            match.name,
+            is_wasted=has_failed and answer.meta.deep_level > CLEAR_SIGN,
+        )
+        await self.deliver(exchange, answer)
+        self.learn_success(match, server, answer)
+        if self.is_nested:
+            self.learn_nested(None)
+
     def learn_success(
         self,
         match: RouteMatch,
--- a/limpetshore/members.py
+++ b/limpetshore/members.py
@@ -150,10 +150,22 @@
             self.by_service[service] = found
         return found
 
+    def current_states(self) -> list[NodeState]:
+        """Return the states of nodes whose address no newer node has."""
+        newest: dict[str, NodeState] = {}
+        for state in sorted(self.states(), key=read_incarnation):
+            if state.status in ALIVE or state.peers not in newest:
+                newest[state.peers] = state
+        return [
+            state
+            for state in self.states()
+            if state.incarnation >= newest[state.peers].incarnation
+        ]
+
     def select_service(self, service: str) -> list[NodeState]:
         """Work out which nodes of a service may be given work."""
         states = sorted(
-            state for state in self.states() if state.service == service
+            state for state in self.current_states() if state.service == service
         )
         usable = {Status.READY, Status.SUSPECT}
         chosen = [state for state in states if state.status in usable]
@@ -181,6 +193,11 @@
         return sighting.since
 
 
+def read_incarnation(state: NodeState) -> int:
+    """Return the incarnation, by which states are sorted."""
+    return state.incarnation
+
+
 def hash_state(state: NodeState) -> int:
     """Return a hash of one state."""
     return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(state))
--- a/limpetshore/peers.py
+++ b/limpetshore/peers.py
@@ -240,6 +240,7 @@
         self.stall_s = stall_s
         self.connection: HttpConnection | None = None
         self.sent_at: float = 0
+        self.lost_probes = 0
 
     async def open(self, request: OutboundRequest) -> Answer:
         """Send the request and wait for the answer to begin."""
@@ -273,28 +274,63 @@
         """Wait for an answer, asking on a new connection when all is silent."""
         patience = self.silence_s
         asked_at = clock.now()
-        lost_probes = 0
         while clock.now() < request.deadline:
-            left = request.deadline - clock.now()
-            with contextlib.suppress(TimeoutError):
-                return await self.connection.read_head(min(self.quiet_s, left))
-            is_heard = clock.now() < self.pool.heard_at + self.quiet_s
-            if is_heard and clock.now() < asked_at + patience:
+            head = await self.listen(request)
+            if head is not None:
+                return head
+            if clock.now() < asked_at + patience and self.is_peer_heard:
                 continue
             asked_at = clock.now()
-            reply = await self.probe(request)
-            lost_probes = 0 if reply else lost_probes + 1
-            if lost_probes >= PROBES_UNTIL_LOST:
-                raise silent('the other node cannot be reached any more')
-            if reply and await self.is_answer_lost(reply):
-                return await self.wait_last_moment()
             patience *= 2
+            if await self.ask_whether_lost(request):
+                return await self.wait_last_moment()
         raise refuse(
             Reason.DEADLINE,
             'no answer before the deadline',
             verdict=Verdict.MAY_HAVE_RUN,
         )
 
+    async def ask_whether_lost(self, request: OutboundRequest) -> bool:
+        """Ask the other node; raise if it is gone or has no such call."""
+        reply = await self.probe(request)
+        if reply is None:
+            self.lost_probes += 1
+            if self.lost_probes >= PROBES_UNTIL_LOST:
+                raise silent('the other node cannot be reached any more')
+            return False
+        self.lost_probes = 0
+        return await self.is_answer_lost(reply)
+
+    async def listen(self, request: OutboundRequest) -> ResponseHead | None:
+        """Wait a moment for the head; return None if it does not come."""
+        wait_s = self.next_wait(request)
+        with contextlib.suppress(TimeoutError):
+            return await self.connection.read_head(wait_s)
+        if self.is_overdue(request) and request.may_abandon():
+            raise silent('the answer is overdue')
+        return None
+
+    @property
+    def is_peer_heard(self) -> bool:
+        """Tell whether any byte came from the other node of late."""
+        return clock.now() < self.pool.heard_at + self.quiet_s
+
+    def next_wait(self, request: OutboundRequest) -> float:
+        """Return how long to wait before looking at the other node again."""
+        now = clock.now()
+        wait_s = min(self.quiet_s, request.deadline - now)
+        if request.patience_s is not None:
+            overdue_s = self.sent_at + request.patience_s - now
+            if overdue_s > 0:
+                wait_s = min(wait_s, overdue_s)
+        return wait_s
+
+    def is_overdue(self, request: OutboundRequest) -> bool:
+        """Tell whether an answer takes longer than such answers do."""
+        if request.patience_s is None:
+            return False
+        return clock.now() >= self.sent_at + request.patience_s
+
     async def is_answer_lost(self, reply: ProbeReply) -> bool:
         """Tell whether a call has ended; raise if it did not arrive."""
         if reply.has_arrived:
--- a/limpetshore/settings.py
+++ b/limpetshore/settings.py
@@ -124,7 +124,7 @@
 
 
 class LogSection(NamedTuple):
-    """Tune the log, which goes to standard error as JSON lines."""
+    """Tune the log, which goes to standard output as JSON lines."""
 
     level: Annotated[
         str,
--- a/limpetshore/verdicts.py
+++ b/limpetshore/verdicts.py
@@ -83,7 +83,9 @@
 
 
 # No server has seen a request that was refused for one of these.
-UNSENT_REASONS = frozenset((Reason.DRAINING, Reason.UNREACHABLE))
+UNSENT_REASONS = frozenset(
+    (Reason.DRAINING, Reason.NOT_OWNER, Reason.UNREACHABLE),
+)
 
 # Nothing more was heard from a server.
 LOST_REASONS = frozenset(
--- /dev/null
+++ b/tests/test_latencies.py
@@ -0,0 +1,47 @@
+"""Replay answers that come, are slow or are lost."""
+
+import random
+
+import anyio
+
+from limpetshore.latencies import LatencyEstimate
+from tests.paused import run_paused
+
+
+def learn(latencies):
+    """Return the patience after some answers."""
+
+    async def run():
+        estimate = LatencyEstimate()
+        for latency in latencies:
+            await anyio.sleep(0.01)
+            estimate.observe(latency)
+        return estimate.patience()
+
+    return run_paused(run)
+
+
+def test_few_answers_tell_nothing():
+    """Wait on while little is known."""
+    assert learn([0.02] * 5) is None
+
+
+def test_usual_answers_are_never_overdue():
+    """Cover every answer of a lognormal load but one in two hundred."""
+    chance = random.Random(1)
+    latencies = [chance.lognormvariate(-3.8, 0.5) for _ in range(2000)]
+    patience = learn(latencies)
+    late = sum(latency > patience for latency in latencies)
+    assert late <= len(latencies) * 0.005
+
+
+def test_lost_answer_is_overdue_long_before_a_deadline():
+    """Notice a lost answer of 20 ms work within a fifth of 700 ms."""
+    chance = random.Random(2)
+    patience = learn([chance.lognormvariate(-3.9, 0.4) for _ in range(500)])
+    assert patience < 0.14
+
+
+def test_when_all_answers_grow_slow_none_is_overdue():
+    """Follow a slow service within a hundred answers."""
+    assert learn([0.02] * 200 + [0.25] * 100) > 0.25
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -109,3 +109,20 @@
     table.merge(build_state('node-b', service='yard'))
     table.mark('node-b', Status.LEFT)
     assert table.find_service('yard') == []
+
+
+def test_node_at_a_reused_address_displaces_the_one_before():
+    """Send nothing to a name whose address belongs to another node now."""
+    table = MemberTable(build_state(peers='10.0.0.9:7001'))
+    table.merge(build_state('node-b', peers='10.0.0.2:7001'))
+    assert [state.name for state in table.find_service('stock')] == [
+        'node-a',
+        'node-b',
+    ]
+    newer = build_state('node-c', peers='10.0.0.2:7001', incarnation=9)
+    table.merge(newer)
+    table.merge(build_state('node-b', peers='10.0.0.2:7001', revision=4))
+    assert [state.name for state in table.find_service('stock')] == [
+        'node-a',
+        'node-c',
+    ]
--- /dev/null
+++ b/tests/test_shedding.py
@@ -0,0 +1,112 @@
+"""Replay an overload deep in the graph at the edge, on a paused clock."""
+
+import random
+
+import anyio
+
+from limpetshore.shedding import EdgeShedding, RankedTraffic, TurnedAway
+from tests.paused import run_paused
+
+LOW, HIGH = 1, 3
+REQUESTS_A_SECOND = 40
+
+
+async def offer(shedding, chance, room, seconds, log):
+    """Send requests of two ranks; those above `room` a second fail below."""
+    ran = 0
+    for number in range(int(seconds * REQUESTS_A_SECOND)):
+        if number % REQUESTS_A_SECOND == 0:
+            ran = 0
+        await anyio.sleep(1 / REQUESTS_A_SECOND)
+        rank = HIGH if chance.random() < 0.3 else LOW
+        route = 'hold' if rank == HIGH else 'check'
+        if not shedding.admits(route, rank):
+            log.append((rank, 'refused'))
+            continue
+        ran += 1
+        is_wasted = chance.random() < max(0, 1 - room / REQUESTS_A_SECOND)
+        if shedding.read() > 1 - room / REQUESTS_A_SECOND:
+            is_wasted = False
+        shedding.observe(route, is_wasted=is_wasted)
+        log.append((rank, 'wasted' if is_wasted else 'served'))
+
+
+def share(log, rank, outcome):
+    """Return the share of a rank that had an outcome."""
+    own = [entry for entry in log if entry[0] == rank]
+    return sum(entry[1] == outcome for entry in own) / len(own)
+
+
+def test_least_important_are_refused_and_little_is_wasted():
+    """Halve the room below for twenty seconds."""
+    log = []
+
+    async def run():
+        chance = random.Random(1)
+        shedding = EdgeShedding(chance)
+        await offer(shedding, chance, 20, 3, [])
+        await offer(shedding, chance, 20, 20, log)
+
+    run_paused(run)
+    assert share(log, HIGH, 'refused') < 0.05
+    assert 0.4 < share(log, LOW, 'refused') < 0.9
+    assert share(log, LOW, 'wasted') < 0.2
+
+
+def test_recovers_within_two_seconds():
+    """Admit all again soon after the overload has ended."""
+    log = []
+
+    async def run():
+        chance = random.Random(2)
+        shedding = EdgeShedding(chance)
+        await offer(shedding, chance, 20, 10, [])
+        await offer(shedding, chance, 1000, 2, [])
+        await offer(shedding, chance, 1000, 5, log)
+
+    run_paused(run)
+    assert share(log, LOW, 'refused') == 0
+
+
+def test_route_that_fails_for_nothing_below_is_not_shed():
+    """Leave routes alone that do not call what has no room."""
+
+    async def run():
+        shedding = EdgeShedding(random.Random(3))
+        for _ in range(50):
+            await anyio.sleep(0.02)
+            shedding.observe('check', is_wasted=True)
+        return [shedding.admits('drawing', LOW) for _ in range(100)]
+
+    assert all(run_paused(run))
+
+
+def test_turned_away_calls_fade():
+    """Report calls that found no room, and forget them when all is calm."""
+
+    async def run():
+        turned_away = TurnedAway()
+        for _ in range(40):
+            await anyio.sleep(0.01)
+            turned_away.count(is_refused=True)
+        busy = turned_away.read()
+        await anyio.sleep(3)
+        return busy, turned_away.read()
+
+    busy, calm = run_paused(run)
+    assert busy > 0.5
+    assert calm == 0
+
+
+def test_shares_of_ranks_add_up():
+    """Refuse just the wanted share over all ranks."""
+
+    async def run():
+        traffic = RankedTraffic()
+        traffic.weights = {0: 10, 1: 30, 2: 60}
+        return sum(
+            traffic.weights[rank] * traffic.refused_share(rank, 0.25)
+            for rank in traffic.weights
+        )
+
+    assert run_paused(run) == 25
