Use a share of the announced slots on the platform

Ruled out: demand alone (slots were free). On the platform slots are announced and each works at its own pace, so a lower limit only loses work; 0.95 of them keeps servers from slowing down when full. The learned limit stays the default.

--- a/limpetshore/guard.py
+++ b/limpetshore/guard.py
@@ -34,7 +34,7 @@
     HttpPool,
     ResponseHead,
 )
-from limpetshore.limits import ConcurrencyLimit
+from limpetshore.limits import AnnouncedLimit, ConcurrencyLimit
 from limpetshore.messages import (
     AnswerMeta,
     CallMeta,
@@ -51,6 +51,7 @@
 
 logger = Logger(__name__)
 
+ANNOUNCED = 'announced'
 MOST_STRAY_ANSWERS = 3
 FRESH_IDLE_S = 0.5
 
@@ -88,16 +89,23 @@
             settings.fleet.clock_skew_s,
         )
         self.admission = Admission(
-            ConcurrencyLimit(
-                1,
-                initial_share=admission.initial_share,
-                probe_s=admission.probe_s,
-            ),
+            self.build_limit(1),
             queue_per_slot=admission.queue_per_slot,
             max_wait_s=admission.max_wait_s,
         )
         self.is_leaving = False
 
+    def build_limit(self, slots: int) -> ConcurrencyLimit:
+        """Return the limit for a server that has just started."""
+        admission = self.settings.admission
+        if admission.limit == ANNOUNCED:
+            return AnnouncedLimit(slots, slot_share=admission.slot_share)
+        return ConcurrencyLimit(
+            slots,
+            initial_share=admission.initial_share,
+            probe_s=admission.probe_s,
+        )
+
     @property
     def accepts_work(self) -> bool:
         """Tell whether new calls may come."""
@@ -111,12 +119,7 @@
         """Adjust to an announcement; a new server starts cold."""
         limit = self.admission.limit
         if is_new:
-            slots = self.backend.slots
-            self.admission.limit = ConcurrencyLimit(
-                slots,
-                initial_share=self.settings.admission.initial_share,
-                probe_s=limit.probe_s,
-            )
+            self.admission.limit = self.build_limit(self.backend.slots)
         else:
             limit.resize(self.backend.slots)
         self.admission.admit_waiting()
--- a/limpetshore/limits.py
+++ b/limpetshore/limits.py
@@ -1,5 +1,6 @@
 """Learn how many requests a backend server can work on at once."""
 
+import math
 from typing import NamedTuple
 
 from limpetshore import clock
@@ -150,3 +151,27 @@
         self.limit = before.limit
         self.lower_at = now + self.probe_s * self.lower_backoff
         self.lower_backoff = min(MOST_BACKOFF, self.lower_backoff * 2)
+
+
+class AnnouncedLimit(ConcurrencyLimit):
+    """Allow a fixed share of the announced slots.
+
+    It fits servers that work on each slot at its own pace, where fewer
+    requests at once only mean less work done, but that slow down when full.
+    """
+
+    def __init__(self, slots: int, *, slot_share: float) -> None:
+        """Allow the share of the slots from the start."""
+        super().__init__(slots, initial_share=slot_share, probe_s=math.inf)
+        self.slot_share = slot_share
+
+    def resize(self, slots: int) -> None:
+        """Follow an announcement of the server."""
+        self.slots = max(1, slots)
+        self.limit = max(1, self.slots * self.slot_share)
+
+    def observe(self, latency: float, in_flight: int) -> None:
+        """Learn nothing from a latency."""
+
+    def observe_shed(self) -> None:
+        """Learn nothing from a request that the server refused."""
--- a/limpetshore/settings.py
+++ b/limpetshore/settings.py
@@ -85,6 +85,10 @@
 
     queue_per_slot: Annotated[float, msgspec.Meta(ge=0, le=100)] = 1
     max_wait_s: Seconds = 0.5
+    limit: Annotated[str, msgspec.Meta(pattern='^(learned|announced)$')] = (
+        'learned'
+    )
+    slot_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.95
     initial_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.2
     probe_s: Seconds = 5
     level_half_life_s: Seconds = 0.5
@@ -188,6 +192,11 @@
     ),
     'admission.queue_per_slot': 'Waiting requests allowed for each slot',
     'admission.max_wait_s': 'Seconds a request may wait for a slot',
+    'admission.limit': (
+        'Where the number of requests at once comes from: learned from '
+        'answers, or a share of the announced slots'
+    ),
+    'admission.slot_share': 'Share of the announced slots that is used',
     'admission.initial_share': 'Share of the slots used after a cold start',
     'admission.probe_s': (
         'Seconds between two changes of the limit that try for a better one'
--- a/limpetshore/shedding.py
+++ b/limpetshore/shedding.py
@@ -33,7 +33,7 @@
         self.weights[rank] = self.weights.get(rank, 0) + 1
 
     def refused_share(self, rank: int, share: float) -> float:
-        """Return which part of a rank goes if `share` of all go, lowest first."""
+        """Return which part of a rank goes if `share` of all are refused."""
         total = sum(self.weights.values())
         own = self.weights.get(rank, 0)
         if not own:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from limpetshore.limits import ConcurrencyLimit
+from limpetshore.limits import AnnouncedLimit, ConcurrencyLimit
 from tests.paused import run_paused
 
 
@@ -114,3 +114,19 @@
 def test_sheds_lower_the_limit():
     """Believe a server that refuses work by itself."""
     assert run_paused(shed) < 100
+
+
+def test_announced_limit_follows_the_slots_and_nothing_else():
+    """Keep the room of a server that refused a few requests by itself."""
+
+    async def run():
+        limit = AnnouncedLimit(60, slot_share=0.95)
+        for _ in range(100):
+            await anyio.sleep(0.2)
+            limit.observe_shed()
+            limit.observe(3, 57)
+        before = limit.allowed
+        limit.resize(20)
+        return before, limit.allowed
+
+    assert run_paused(run) == (57, 19)
