Run pipelined requests side by side, answer them in order

Clients that send the next request before an answer had it wait for the one before, in our queue, on their time. Ruled out: probes beyond the deadline (now bounded by it too) - few were sent. Requests of one connection run side by side, at most eight; what may not be repeated begins only when all before it is answered, since a caller sends what stands behind a closing answer once more.

--- a/limpetshore/bodies.py
+++ b/limpetshore/bodies.py
@@ -101,12 +101,14 @@
 
     async def send_body(self, chunk: bytes, *, is_last: bool) -> None:
         """Send a piece of the body; give up on a caller that reads nothing."""
-        connection = self.request.connection
-        self.request.send_body(chunk, is_last=is_last)
-        if connection.writable is None:
+        request = self.request
+        request.send_body(chunk, is_last=is_last)
+        if request.is_first and request.connection.writable is None:
+            return
+        if is_last and not request.is_first:
             return
         with anyio.move_on_after(self.stall_s):
-            await connection.drain()
+            await request.drain()
             return
         self.request.is_answered = False
         raise CallerGoneError('the caller stopped reading its answer')
--- a/limpetshore/ingress.py
+++ b/limpetshore/ingress.py
@@ -260,6 +260,9 @@
     async def have_answered(self, match: RouteMatch) -> None:
         """Read the body and try servers until one answers."""
         self.check_levels(match)
+        if not match.route.is_repeatable:
+            # A caller sends what stands behind a closing answer once more.
+            await self.request.wait_turn()
         body = self.open_body()
         first = await body.read_first(self.ingress.settings.call.replay_bytes)
         request = self.build_request(match, body, first)
--- a/limpetshore/peers.py
+++ b/limpetshore/peers.py
@@ -361,7 +361,8 @@
             request.meta.call_id,
             clock.now() - self.sent_at + ANSWER_GRACE_S,
         )
-        with anyio.move_on_after(PROBE_TIMEOUT_S):
+        left_s = request.deadline - clock.now()
+        with anyio.move_on_after(min(PROBE_TIMEOUT_S, max(0, left_s))):
             try:
                 return await ask_probe(self.pool.address, asked)
             except (TransportError, msgspec.MsgspecError):
--- a/limpetshore/serving.py
+++ b/limpetshore/serving.py
@@ -1,4 +1,4 @@
-"""Serve HTTP/1.1 calls, one task for each connection.
+"""Serve HTTP/1.1 calls, one task for each open request.
 
 Answers of calls between nodes are written here without ASGI, which costs more
 than the rest of a call; the parser is the one that uvicorn uses.
@@ -30,7 +30,7 @@
 STOP_POLL_S = 0.05
 BACKLOG = 2048
 MAX_BUFFERED_BYTES = 65536
-MAX_PIPELINED = 16
+MAX_PIPELINED = 8
 NO_CONTENT = 204
 NOT_MODIFIED = 304
 CHUNKED = (b'transfer-encoding', b'chunked')
@@ -68,6 +68,11 @@
         self.is_answered = False
         self.is_chunked_answer = False
         self.unsent_head = b''
+        self.held_back: list[bytes] = []
+        self.is_first = False
+        self.is_done = False
+        self.task: asyncio.Task[None] | None = None
+        self.turn: asyncio.Future[None] | None = None
         self.waiter: asyncio.Future[None] | None = None
 
     @property
@@ -104,6 +109,33 @@
         self.connection.resume_reading()
         return taken
 
+    async def wait_turn(self) -> None:
+        """Wait until every request before this one is answered."""
+        while not self.is_first and not self.is_gone:
+            self.turn = self.connection.loop.create_future()
+            await self.turn
+
+    def become_first(self) -> None:
+        """Write what was answered before it was this request's turn."""
+        self.is_first = True
+        for chunk in self.held_back:
+            self.connection.write(chunk)
+        self.held_back.clear()
+        wake(self.turn)
+
+    def write(self, chunk: bytes) -> None:
+        """Write a part of the answer, or hold it back until its turn."""
+        if self.is_first:
+            self.connection.write(chunk)
+        else:
+            self.held_back.append(chunk)
+
+    async def drain(self) -> None:
+        """Wait while the caller takes no more of the answer."""
+        if not self.is_first:
+            await self.wait_turn()
+        await self.connection.drain()
+
     def start_answer(self, status: int, headers: Headers) -> None:
         """Prepare the head, which goes out with the first piece of body."""
         self.has_started = True
@@ -129,13 +161,13 @@
         head = self.unsent_head
         self.unsent_head = b''
         if head or piece:
-            self.connection.write(head + piece)
+            self.write(head + piece)
         self.is_answered = is_last
 
     def flush_head(self) -> None:
         """Write the head at once, since the body is not there yet."""
         if self.unsent_head:
-            self.connection.write(self.unsent_head)
+            self.write(self.unsent_head)
             self.unsent_head = b''
 
     def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
@@ -162,11 +194,8 @@
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
         self.peer_host = ''
-        self.queue: deque[ServerRequest] = deque()
+        self.open: deque[ServerRequest] = deque()
         self.receiving = ServerRequest(self)
-        self.current: ServerRequest | None = None
-        self.task: asyncio.Task[None] | None = None
-        self.arrived: asyncio.Future[None] | None = None
         self.writable: asyncio.Future[None] | None = None
         self.idle_since = clock.now()
         self.header_bytes = 0
@@ -190,13 +219,12 @@
         """Stop the work for the caller, unless it must come to its end."""
         self.is_gone = True
         self.server.connections.discard(self)
-        wake(self.arrived)
         wake(self.writable)
-        current = self.current
-        if current is not None:
-            wake(current.waiter)
-            if not current.is_detached:
-                self.task.cancel()
+        for request in self.open:
+            wake(request.waiter)
+            wake(request.turn)
+            if not request.is_detached:
+                request.task.cancel()
 
     def data_received(self, received: bytes) -> None:
         """Parse requests; answer what is no HTTP and close."""
@@ -218,7 +246,7 @@
     def refuse_syntax(self, status: http.HTTPStatus) -> None:
         """Refuse bytes that are no request, after what was asked before."""
         self.is_damaged = True
-        if self.current is None and not self.queue:
+        if not self.open:
             line = REFUSE_SYNTAX % (status, status.phrase.encode())
             self.write(line)
             self.close()
@@ -236,7 +264,7 @@
         self.receiving.headers.append((name.lower(), value.rstrip(b' \t')))
 
     def on_headers_complete(self) -> None:
-        """Hand the request to the task of the connection."""
+        """Start a task for the request."""
         self.is_in_headers = False
         self.header_bytes = 0
         request = self.receiving
@@ -247,12 +275,11 @@
             b'expect',
             b'100-continue',
         ) in request.headers
-        self.queue.append(request)
-        if len(self.queue) > MAX_PIPELINED:
+        request.is_first = not self.open
+        self.open.append(request)
+        if len(self.open) >= MAX_PIPELINED:
             self.pause_reading()
-        if self.task is None:
-            self.task = self.loop.create_task(self.run())
-        wake(self.arrived)
+        request.task = self.loop.create_task(self.run(request))
 
     def on_body(self, body: bytes) -> None:
         """Pass a piece of the body on."""
@@ -264,47 +291,37 @@
         self.is_in_headers = True
         wake(self.receiving.waiter)
 
-    async def run(self) -> None:
-        """Answer one request after the other, until either side closes."""
+    async def run(self, request: ServerRequest) -> None:
+        """Answer one request; requests of one caller may run side by side."""
         try:
-            await self.serve_all()
+            await self.server.app.serve(request)
         except asyncio.CancelledError:
             if not self.is_gone:
                 raise
         except Exception:
-            logger.exception('a connection ended by a defect')
-            self.abort()
-
-    async def serve_all(self) -> None:
-        """Answer requests in the order they came."""
-        while not self.is_gone:
-            if not self.queue:
-                if self.is_damaged:
-                    self.close()
-                    return
-                self.idle_since = clock.now()
-                self.current = None
-                self.arrived = self.loop.create_future()
-                await self.arrived
-                continue
-            request = self.queue.popleft()
-            self.current = request
-            self.resume_reading()
-            await self.server.app.serve(request)
-            if not self.finish(request):
+            logger.exception('a request ended by a defect')
+        finally:
+            request.is_done = True
+            request.is_body_unwanted = True
+            self.finish_done()
+
+    def finish_done(self) -> None:
+        """Send answers in the order of their requests, or close."""
+        while self.open and self.open[0].is_done:
+            request = self.open.popleft()
+            if not request.is_answered:
+                self.abort()
                 return
-
-    def finish(self, request: ServerRequest) -> bool:
-        """Close after a request if need be; return whether to go on."""
-        request.is_body_unwanted = True
-        self.current = None
-        if not request.is_answered:
-            self.abort()
-            return False
-        if not request.is_kept_alive:
-            self.close()
-            return False
-        return True
+            if not request.is_kept_alive:
+                self.close()
+                return
+            if self.open:
+                self.open[0].become_first()
+        self.resume_reading()
+        if not self.open:
+            self.idle_since = clock.now()
+            if self.is_damaged:
+                self.close()
 
     def may_stay_open(self, request: ServerRequest) -> bool:
         """Tell whether the connection serves more requests after this one."""
@@ -313,7 +330,7 @@
     @property
     def is_idle(self) -> bool:
         """Tell whether no request is open."""
-        return self.current is None and not self.queue
+        return not self.open
 
     def pause_reading(self) -> None:
         """Take no more bytes for now."""
