--- a/limpetshore/watching.py
+++ b/limpetshore/watching.py
@@ -13,7 +13,14 @@
     StoreHistoryError,
     StoreUnavailableError,
 )
-from limpetshore.fleet import CURRENT, LEDGER, NODES, POLICY, FleetState
+from limpetshore.fleet import (
+    CURRENT,
+    LEDGER,
+    NEVER_S,
+    NODES,
+    POLICY,
+    FleetState,
+)
 from limpetshore.gossip import Gossip
 from limpetshore.ledger import encode_ledger, leave_ledger, plan_ledger
 from limpetshore.members import ALIVE, Status, rank_names
@@ -55,6 +62,7 @@
         self.plan_wanted_since: float | None = None
         self.own_version = MUST_NOT_EXIST
         self.record_wanted = False
+        self.is_lost = False
         self.state_before: NodeState | None = None
 
     @property
@@ -68,14 +76,32 @@
         while True:
             try:
                 await self.follow()
+                self.note_reached()
             except StoreHistoryError as error:
                 logger.info('reading anew: {0}', error)
                 self.revision = None
             except StoreError as error:
-                logger.warning('store: {0}', error)
+                self.note_lost(error)
                 self.revision = None
                 await self.pause()
 
+    def note_reached(self) -> None:
+        """Log once that the store answers again."""
+        if self.is_lost:
+            self.is_lost = False
+            logger.notice('the store answers again')
+
+    def note_lost(self, error: StoreError) -> None:
+        """Log once that the store does not answer, and how old its word is."""
+        if not self.is_lost:
+            self.is_lost = True
+            age_s = min(NEVER_S, round(self.fleet.standing.store_age, 3))
+            logger.warning(
+                'the store is lost: {0}',
+                error,
+                extra={'last_word_s_ago': age_s},
+            )
+
     async def pause(self) -> None:
         """Wait before the next call after a failure."""
         jitter = self.chance.uniform(1 - JITTER, 1 + JITTER)
