Let each answer between nodes vouch for the store; retry it sooner

Answers now carry the version of the policy and the age of the last word of the store; the age counts from when the call was sent, and a peer with a newer policy vouches for nothing but has its policy fetched. After a failure the store is asked again in 0.2 s, then later. Ruled out: the store itself, which answered others.

--- a/limpetshore/fleet.py
+++ b/limpetshore/fleet.py
@@ -8,7 +8,13 @@
 from limpetshore import clock
 from limpetshore.ledger import VersionedLedger, decode_ledger
 from limpetshore.members import MemberTable, Status
-from limpetshore.messages import Digest, Document, NodeState
+from limpetshore.messages import (
+    NEVER_S,
+    AnswerMeta,
+    Digest,
+    Document,
+    NodeState,
+)
 from limpetshore.metrics import Metrics
 from limpetshore.policies import PolicyIndex, decode_policy
 from limpetshore.shards import ShardKeeper
@@ -22,7 +28,6 @@
 CURRENT = 'current'
 MAX_CHANGES = 8
 SPREAD_TIMES = 4
-NEVER_S = 1e9
 
 
 class PolicyFollower(ABC):
@@ -153,6 +158,21 @@
         if self.table.sees_majority():
             self.standing.confirm_majority()
 
+    def learn_from_answer(
+        self,
+        meta: AnswerMeta,
+        node: NodeState,
+        waited_s: float,
+    ) -> bool:
+        """Take over a confirmation that came with an answer.
+
+        Return True if that node has a newer policy, which vouches for nothing.
+        """
+        if meta.policy_version > self.version(POLICY):
+            return node.name != self.table.own_name
+        self.standing.confirm_store(meta.confirmed_age + waited_s)
+        return False
+
     def follow_members(self) -> None:
         """Work out anew among which servers request ids are divided."""
         owners: dict[str, list[str]] = {}
--- a/limpetshore/guard.py
+++ b/limpetshore/guard.py
@@ -36,6 +36,7 @@
 )
 from limpetshore.limits import AnnouncedLimit, ConcurrencyLimit
 from limpetshore.messages import (
+    NEVER_S,
     AnswerMeta,
     CallMeta,
     ProbeReply,
@@ -94,6 +95,7 @@
             max_wait_s=admission.max_wait_s,
         )
         self.is_leaving = False
+        self.policy_version = 0
 
     def build_limit(self, slots: int) -> ConcurrencyLimit:
         """Return the limit for a server that has just started."""
@@ -148,6 +150,8 @@
             level=round(self.admission.level.read(), 3),
             deep_level=self.find_deep_level(call),
             load=round(self.admission.load, 3),
+            policy_version=self.policy_version,
+            confirmed_age=min(NEVER_S, round(self.standing.store_age, 2)),
         )
 
 
--- a/limpetshore/ingress.py
+++ b/limpetshore/ingress.py
@@ -1,6 +1,7 @@
 """Take requests from callers and the local backend server to an answer."""
 
 import random
+from collections.abc import Callable
 
 from anyio.abc import TaskGroup
 from logbook import Logger
@@ -32,6 +33,7 @@
 from limpetshore.latencies import LatencyEstimate
 from limpetshore.levels import ReportedLevel, should_refuse
 from limpetshore.messages import (
+    AnswerMeta,
     CallMeta,
     NodeState,
     clean_headers,
@@ -63,6 +65,9 @@
 DEEP_LEVEL_WEIGHT = 0.2
 
 
+AnswerListener = Callable[[AnswerMeta, NodeState, float], None]
+
+
 class Ingress(CallApp):
     """Hold what all requests that enter at this node share."""
 
@@ -75,8 +80,10 @@
         callers: Callers,
         standing: Standing,
         chance: random.Random,
+        learn: AnswerListener,
     ) -> None:
-        """Start without a policy."""
+        """Start without a policy; `learn` hears of each node's answer."""
+        self.learn = learn
         self.settings = settings
         self.metrics = metrics
         self.guard = guard
@@ -186,6 +193,7 @@
         self.headers: Headers = request.headers
         self.sender = AnswerSender(request, ingress.settings.call.stall_s)
         self.started = clock.now()
+        self.sent_at = self.started
         self.name = RequestName('', is_from_caller=False)
         self.tried: list[str] = []
         self.origin: Origin | None = None
@@ -475,14 +483,14 @@
         view = self.ingress.balancer.view(server.name)
         lent = self.origin.budget.lend()
         estimate = self.ingress.latency(match.name)
-        sent_at = clock.now()
+        self.sent_at = clock.now()
         sent = self.prepare_attempt(request, lent, estimate.patience())
         exchange = self.ingress.open_exchange(server)
         spent = lent  # what an attempt spent that ends without a word
         view.in_flight += 1
         try:
             answer = await exchange.open(sent)
-            estimate.observe(clock.now() - sent_at)
+            estimate.observe(clock.now() - self.sent_at)
             spent = answer.meta.retries_spent
             await self.deliver_and_learn(match, server, exchange, answer)
         except AnswerRefusedError as error:
@@ -530,6 +538,7 @@
         answer: Answer,
     ) -> None:
         """Pass an answer on and learn once it is whole."""
+        self.ingress.learn(answer.meta, server, clock.now() - self.sent_at)
         has_failed = answer.head.status >= SERVER_ERROR
         self.ingress.shedding.observe(
             match.name,
--- a/limpetshore/messages.py
+++ b/limpetshore/messages.py
@@ -34,6 +34,7 @@
 )
 
 
+NEVER_S = 1e9
 PLAIN_CONNECTION = frozenset((b'close', b'keep-alive'))
 
 
@@ -58,6 +59,7 @@
     """Travel with an answer from the guard to the ingress.
 
     `verdict` and `reason` are empty for an answer of the backend server.
+    `confirmed_age` is in seconds since the store was known to be up.
     """
 
     verdict: str
@@ -67,6 +69,8 @@
     level: float
     deep_level: float
     load: float
+    policy_version: int = 0
+    confirmed_age: float = NEVER_S
 
 
 class NodeState(NamedTuple):
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -23,7 +23,7 @@
 from limpetshore.httpserver import HttpServer
 from limpetshore.ingress import Ingress
 from limpetshore.members import MemberTable, Status
-from limpetshore.messages import NodeState
+from limpetshore.messages import AnswerMeta, NodeState
 from limpetshore.metrics import Metrics
 from limpetshore.peers import PeerApp
 from limpetshore.policies import PolicyIndex
@@ -135,8 +135,20 @@
             ),
             self.standing,
             self.chance,
+            self.learn_from_answer,
         )
 
+    def learn_from_answer(
+        self,
+        meta: AnswerMeta,
+        node: NodeState,
+        waited_s: float,
+    ) -> None:
+        """Take over what an answer of another node says of the store."""
+        if self.fleet.learn_from_answer(meta, node, waited_s):
+            self.gossip.newer_at.append(node.control)
+            self.gossip.push()
+
     def choose_spender(self) -> Spender:
         """Return what spends tokens, as the settings say."""
         fleet = self.settings.fleet
@@ -178,6 +190,7 @@
     def adopt_policy(self, index: PolicyIndex) -> None:
         """Use a newer policy from now on."""
         self.ingress.index = index
+        self.guard.policy_version = index.version
         self.budgets.follow_policy(index.policy.customers)
         self.balancer.drained = index.drained
         self.guard.admission.weights = {
--- a/limpetshore/store.py
+++ b/limpetshore/store.py
@@ -107,14 +107,14 @@
                 )
         except (httpcore.ConnectError, OSError) as error:
             self.metrics.store_calls.labels(kind, 'unavailable').inc()
-            raise StoreUnavailableError(f'store: {error}') from error
+            raise StoreUnavailableError(f'{error!r}') from error
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
         ) as error:
             self.metrics.store_calls.labels(kind, 'lost').inc()
-            raise StoreUnavailableError(f'store: {error}') from error
+            raise StoreUnavailableError(f'{error!r}') from error
         self.metrics.store_calls.labels(kind, str(response.status)).inc()
         return response
 
--- a/limpetshore/watching.py
+++ b/limpetshore/watching.py
@@ -16,7 +16,6 @@
 from limpetshore.fleet import (
     CURRENT,
     LEDGER,
-    NEVER_S,
     NODES,
     POLICY,
     FleetState,
@@ -24,13 +23,15 @@
 from limpetshore.gossip import Gossip
 from limpetshore.ledger import encode_ledger, leave_ledger, plan_ledger
 from limpetshore.members import ALIVE, Status, rank_names
-from limpetshore.messages import Document, NodeState
+from limpetshore.messages import NEVER_S, Document, NodeState
 from limpetshore.settings import FleetSection
 from limpetshore.store import MUST_NOT_EXIST, ObjectStore, StoredObject
 
 logger = Logger(__name__)
 
+FIRST_RETRY_S = 0.2
 RETRY_S = 1.0
+MOST_FAILURES = 8
 JITTER = 0.5
 STALE_S = 10
 DUTY_PERIOD_S = 1.0
@@ -63,6 +64,7 @@
         self.own_version = MUST_NOT_EXIST
         self.record_wanted = False
         self.is_lost = False
+        self.failures = 0
         self.state_before: NodeState | None = None
 
     @property
@@ -87,6 +89,7 @@
 
     def note_reached(self) -> None:
         """Log once that the store answers again."""
+        self.failures = 0
         if self.is_lost:
             self.is_lost = False
             logger.notice('the store answers again')
@@ -103,9 +106,14 @@
             )
 
     async def pause(self) -> None:
-        """Wait before the next call after a failure."""
-        jitter = self.chance.uniform(1 - JITTER, 1 + JITTER)
-        await anyio.sleep(RETRY_S * jitter)
+        """Wait before the next call, longer the more have failed."""
+        backoff_s = FIRST_RETRY_S * 2**self.failures
+        self.failures = min(MOST_FAILURES, self.failures + 1)
+        await anyio.sleep(self.jitter(min(RETRY_S, backoff_s)))
+
+    def jitter(self, seconds: float) -> float:
+        """Return about as many seconds, so that nodes do not act at once."""
+        return seconds * self.chance.uniform(1 - JITTER, 1 + JITTER)
 
     async def read_all(self) -> None:
         """Read once at the start; peers help when the store is down."""
@@ -126,7 +134,7 @@
         is_stale = self.fleet.standing.store_age > STALE_S
         if not self.is_watcher() and not is_stale:
             self.revision = None
-            await self.pause()
+            await anyio.sleep(self.jitter(RETRY_S))
             return
         if self.revision is None:
             await self.catch_up()
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,76 @@
+"""Check what a node believes because a peer said so."""
+
+import anyio
+
+from limpetshore import clock
+from limpetshore.fleet import POLICY, FleetState
+from limpetshore.members import MemberTable
+from limpetshore.messages import AnswerMeta, Document
+from limpetshore.metrics import Metrics
+from limpetshore.policies import encode_policy
+from limpetshore.shards import ShardKeeper
+from limpetshore.standing import Standing
+from tests.builders import build_node_state, build_policy
+from tests.paused import run_paused
+
+
+def build_fleet():
+    """Return the state of a node that follows version 5 of the policy."""
+    standing = Standing(
+        'node-a', fence_s=8, cut_off_s=4.5, keys_need_store=True
+    )
+    keeper = ShardKeeper(
+        'node-a',
+        standing,
+        validity_s=0.6,
+        shards_per_customer=4,
+    )
+    table = MemberTable(build_node_state('node-a'))
+    fleet = FleetState(table, standing, keeper, Metrics())
+    fleet.adopt(POLICY, Document(5, encode_policy(build_policy())))
+    return fleet
+
+
+def build_answer(version, age):
+    """Return what comes with an answer of another node."""
+    return AnswerMeta('', '', 0, 0, 0, 0, 0, version, age)
+
+
+def learn(version, age, waited_s):
+    """Return whether a newer policy is known and keys are believed."""
+
+    async def run():
+        fleet = build_fleet()
+        await anyio.sleep(10)
+        is_newer = fleet.learn_from_answer(
+            build_answer(version, age),
+            build_node_state('node-b'),
+            waited_s,
+        )
+        return is_newer, not fleet.standing.is_cut_off
+
+    return run_paused(run)
+
+
+def test_peer_that_knows_no_more_vouches():
+    """Count the age of its word and the time its answer took."""
+    assert learn(5, 1.0, 2.0) == (False, True)
+    assert learn(4, 1.0, 2.0) == (False, True)
+    assert learn(5, 3.0, 2.0) == (False, False)
+
+
+def test_peer_with_a_newer_policy_vouches_for_nothing():
+    """Fetch its policy first: it may withdraw a key."""
+    assert learn(6, 0.1, 0.1) == (True, False)
+
+
+def test_policy_never_goes_back():
+    """Ignore an older document, as a stale read would bring it."""
+
+    async def run():
+        fleet = build_fleet()
+        older = Document(4, encode_policy(build_policy(number=9)))
+        assert not fleet.adopt(POLICY, older)
+        return fleet.version(POLICY), clock.now()
+
+    assert run_paused(run)[0] == 5
