--- /dev/null
+++ b/tests/test_balancing.py
@@ -0,0 +1,84 @@
+"""Replay servers that refuse quickly, and check that work goes elsewhere."""
+
+import random
+
+import pytest
+
+from limpetshore import clock
+from limpetshore.balancing import Balancer
+from limpetshore.members import MemberTable, Status
+from limpetshore.messages import AnswerMeta
+from limpetshore.verdicts import Reason
+from tests.builders import build_node_state
+
+IDLE = AnswerMeta('', '', 0, 0, 0, 0, 0)
+
+
+class StillClock:
+    """Hold a time that a test moves."""
+
+    def __init__(self):
+        """Start at a second after zero."""
+        self.now = 1.0
+
+    def __call__(self):
+        """Return the time."""
+        return self.now
+
+
+@pytest.fixture
+def still_clock():
+    """Let the clock stand still between steps of a test."""
+    before = clock.process_clock.source
+    clock.process_clock.source = StillClock()
+    yield clock.process_clock.source
+    clock.process_clock.source = before
+
+
+def build_balancer(count=4):
+    """Return a balancer that knows some servers of one service."""
+    names = [f'node-{number}' for number in range(count)]
+    table = MemberTable(
+        build_node_state('entry', service='other', peers='10.0.0.9:1'),
+    )
+    for at, name in enumerate(names):
+        table.merge(
+            build_node_state(
+                name,
+                status=int(Status.READY),
+                peers=f'10.0.1.{at}:1',
+            )
+        )
+    return Balancer(table, 'zone-a', 0.5, random.Random(1))
+
+
+@pytest.mark.parametrize(
+    'reason',
+    [Reason.NOT_OWNER, Reason.DRAINING, Reason.UNREACHABLE],
+)
+def test_server_that_refuses_at_once_gets_no_work(still_clock, reason):
+    """Keep a quick refusal from making a server look idle."""
+    balancer = build_balancer()
+    for other in ('node-1', 'node-2', 'node-3'):
+        balancer.view(other).load = 0.9
+    balancer.view('node-0').learn_refusal(IDLE, reason)
+    chosen = {balancer.choose('stock', []).name for _ in range(200)}
+    assert chosen == {'node-1', 'node-2', 'node-3'}
+
+
+def test_server_put_aside_is_tried_again(still_clock):
+    """Come back to a server once its time aside is over."""
+    balancer = build_balancer()
+    balancer.view('node-0').put_aside()
+    still_clock.now += 1.5
+    chosen = {balancer.choose('stock', []).name for _ in range(200)}
+    assert 'node-0' in chosen
+
+
+def test_most_are_never_put_aside_at_once(still_clock):
+    """Trust none of the signs when they say that most servers are bad."""
+    balancer = build_balancer()
+    for name in ('node-0', 'node-1', 'node-2'):
+        balancer.view(name).put_aside()
+    chosen = {balancer.choose('stock', []).name for _ in range(200)}
+    assert len(chosen) == 4
