--- a/limpetshore/cli.py
+++ b/limpetshore/cli.py
@@ -10,7 +10,7 @@
 import msgspec
 import typer
 
-from limpetshore import log, node, operators
+from limpetshore import explaining, log, node, operators
 from limpetshore.errors import (
     LimpetshoreError,
     SettingsError,
@@ -265,6 +265,24 @@
     typer.echo(msgspec.json.format(response.content).decode())
 
 
+@app.command('explain')
+def explain_request(
+    request_id: Annotated[str, typer.Argument(help='Id of the request.')],
+    logs: Annotated[
+        list[typer.FileText],
+        typer.Argument(help='Logs of nodes; - is standard input.'),
+    ],
+) -> None:
+    """Show why a request ended as it did, from the logs of nodes."""
+    lines = (line for log_file in logs for line in log_file)
+    explanation = explaining.explain(lines, request_id)
+    if not explanation.own:
+        typer.echo(f'no line of these logs names the request {request_id}')
+        raise typer.Exit(FAILED)
+    for line in explaining.render(explanation):
+        typer.echo(line)
+
+
 def main() -> None:
     """Run the command line."""
     app()
--- a/limpetshore/clock.py
+++ b/limpetshore/clock.py
@@ -1,5 +1,6 @@
 """Read the clock of the runtime, or one that also counts suspended time."""
 
+import functools
 import time
 from collections.abc import Callable
 
@@ -24,12 +25,11 @@
     return process_clock.source()
 
 
-def boot_time(
-    read: Callable[[int], float] = time.clock_gettime,
-    clock_id: int = time.CLOCK_BOOTTIME,
-) -> float:
-    """Return seconds since boot, those spent suspended included."""
-    return read(clock_id)
+# Seconds since boot, those spent suspended included.
+boot_time: TimeSource = functools.partial(
+    time.clock_gettime,
+    time.CLOCK_BOOTTIME,
+)
 
 
 def use_boot_time() -> None:
