--- a/limpetshore/explaining.py
+++ b/limpetshore/explaining.py
@@ -101,7 +101,8 @@
 def render_line(line: LogLine) -> str:
     """Return one line to read."""
     inputs = render_extra(line.extra)
-    return f'{line.at.time()} {line.process}: {line.message}{inputs}'
+    time = line.at.time()
+    return f'{time} {line.process}: {line.message}{inputs}'
 
 
 def render_extra(extra: dict[str, Any]) -> str:
