Draw servers by what a request would take; place full refusals elsewhere

Ruled out: too little room in all (others took requests all the while); the edge, which shed 1,372. Servers are now drawn with a weight of one over the square of the expected time (service time as the guard reports it, load, own requests, zone, failed share), and a call refused at once by a full queue is placed at up to two more servers that have not refused it; no server has seen it, so it costs no retry. A server's failures count against it unless calls below found no room.

--- a/limpetshore/balancing.py
+++ b/limpetshore/balancing.py
@@ -14,6 +14,10 @@
 MOST_ASIDE_S = 10
 ASIDE_SHARE = 0.5
 OTHER_ZONE_LOAD = 0.3
+IDLE_PRESSURE = 0.3
+PREFERENCE = 2
+FAILURE_WEIGHT = 0.05
+FAILURE_PENALTY = 8
 
 
 class ServerView:
@@ -26,6 +30,8 @@
         self.level = ReportedLevel(half_life_s)
         self.failures = 0
         self.aside_until: float = 0
+        self.service_time: float = 0
+        self.failed_share: float = 0
 
     @property
     def is_aside(self) -> bool:
@@ -37,8 +43,15 @@
         self.failures = 0
         self.aside_until = 0
         self.load = meta.load
+        self.service_time = meta.service_time
         self.level.report(meta.level)
 
+    def learn_answer(self, meta: AnswerMeta, *, has_failed: bool) -> None:
+        """Learn from a whole answer of the backend server."""
+        self.succeed(meta)
+        change = has_failed - self.failed_share
+        self.failed_share += change * FAILURE_WEIGHT
+
     def learn_refusal(self, meta: AnswerMeta, reason: Reason) -> None:
         """Learn from an honest refusal."""
         self.succeed(meta)
@@ -67,10 +80,9 @@
 
 
 class Balancer:
-    """Choose by two random draws, near servers first while they have room.
+    """Draw servers at random, the likelier the sooner they would answer.
 
-    The better of two random choices avoids the herding of always taking the
-    least loaded one (Mitzenmacher, 2001).
+    Drawing keeps nodes that know the same from all taking the same server.
     """
 
     def __init__(
@@ -104,6 +116,13 @@
             if state.name not in self.drained
         ]
 
+    def has_untried(self, service: str, tried: Collection[str]) -> bool:
+        """Tell whether some server of a service was not tried yet."""
+        return any(
+            state.name not in tried and not self.view(state.name).is_aside
+            for state in self.list_usable(service)
+        )
+
     def choose(
         self,
         service: str,
@@ -115,10 +134,9 @@
         candidates = self.leave_out_aside(fresh or usable)
         if not candidates:
             return None
-        if len(candidates) == 1:
-            return candidates[0]
-        first, second = self.chance.sample(candidates, 2)
-        return min(first, second, key=self.cost)
+        costs = self.list_costs(candidates)
+        weights = [1 / cost**PREFERENCE for cost in costs]
+        return self.chance.choices(candidates, weights)[0]
 
     def leave_out_aside(self, states: list[NodeState]) -> list[NodeState]:
         """Drop servers put aside, but never more than a share of them."""
@@ -127,13 +145,26 @@
             return states
         return good
 
-    def cost(self, state: NodeState) -> float:
-        """Return how busy a server is; another zone counts as some load."""
-        view = self.view(state.name)
-        cost = view.load + view.in_flight / max(1, state.slots)
+    def list_costs(self, states: list[NodeState]) -> list[float]:
+        """Return for each server about how long a request would take.
+
+        A server that has told nothing yet is taken for an average one.
+        """
+        views = [self.view(state.name) for state in states]
+        known = [view.service_time for view in views if view.service_time]
+        usual = sum(known) / len(known) if known else 1
+        return [
+            (view.service_time or usual) * self.pressure(view, state)
+            for view, state in zip(views, states, strict=True)
+        ]
+
+    def pressure(self, view: ServerView, state: NodeState) -> float:
+        """Return how much longer a request takes where others are before it."""
+        pressure = IDLE_PRESSURE + view.load
+        pressure += view.in_flight / max(1, state.slots)
         if state.zone != self.zone:
-            cost += OTHER_ZONE_LOAD
-        return cost
+            pressure += OTHER_ZONE_LOAD
+        return pressure * (1 + view.failed_share * FAILURE_PENALTY)
 
     def service_level(self, service: str) -> float:
         """Return the lowest admission level among the servers of a service."""
--- a/limpetshore/guard.py
+++ b/limpetshore/guard.py
@@ -53,6 +53,7 @@
 logger = Logger(__name__)
 
 ANNOUNCED = 'announced'
+SERVER_ERROR = 500
 MOST_STRAY_ANSWERS = 3
 FRESH_IDLE_S = 0.5
 
@@ -150,6 +151,7 @@
             level=round(self.admission.level.read(), 3),
             deep_level=self.find_deep_level(call),
             load=round(self.admission.load, 3),
+            service_time=round(self.admission.service_time, 4),
             policy_version=self.policy_version,
             confirmed_age=min(NEVER_S, round(self.standing.store_age, 2)),
         )
@@ -166,6 +168,7 @@
         self.token = ''
         self.connection: HttpConnection | None = None
         self.has_slot = False
+        self.has_failed = False
         self.started: float = 0
 
     async def open(self, request: OutboundRequest) -> Answer:
@@ -281,6 +284,7 @@
         if shed is not None:
             self.release_id(request.meta)
             raise refuse(shed, 'the server did not run the request')
+        self.has_failed = head.status >= SERVER_ERROR
         described = self.guard.describe_answer(call=self.call)
         self.call.budget.close()
         return Answer(head, described)
@@ -349,7 +353,8 @@
         """Learn from a whole answer."""
         guard = self.guard
         latency = clock.now() - self.started
-        guard.admission.observe(latency)
+        if not self.has_failed:
+            guard.admission.observe(latency)
         guard.metrics.observe_answer('guard', latency)
 
     async def close(self) -> None:
--- a/limpetshore/ingress.py
+++ b/limpetshore/ingress.py
@@ -57,7 +57,10 @@
 
 logger = Logger(__name__)
 
-MOST_PLACEMENTS = 6
+# How often a request that no server has seen is placed, by what refused it.
+PLACEMENTS = {reason: 6 for reason in UNSENT_REASONS}
+PLACEMENTS[Reason.OVERLOADED] = 3
+QUICK_REFUSAL_S = 0.05
 SERVER_ERROR = 500
 RETURN_S = (0.4, 1.2)
 NO_ROOM_REASONS = frozenset((Reason.OVERLOADED, Reason.DEADLINE))
@@ -414,22 +417,36 @@
         has_run: bool,
     ) -> bool:
         """Decide on another attempt and pay for it."""
-        ingress = self.ingress
+        if request.rest is not None or self.sender.has_started:
+            return False
+        if clock.now() >= request.deadline:
+            return False
         reason = error.refusal.reason
+        is_repeatable = match.route.is_repeatable
+        if (is_repeatable or not has_run) and self.may_place(error.refusal):
+            self.count_retry(reason)
+            return True
         is_safe = is_retry_safe(
             reason,
             has_run=has_run,
-            is_repeatable=match.route.is_repeatable,
+            is_repeatable=is_repeatable,
         )
-        if not is_safe or request.rest is not None or self.sender.has_started:
+        return is_safe and self.pay_retry(reason)
+
+    def may_place(self, refusal: Refusal) -> bool:
+        """Tell whether to try a server that has not refused the request yet.
+
+        No server has seen the request, so that it costs no retry.
+        """
+        if refusal.verdict != Verdict.NOT_RUN:
             return False
-        if clock.now() >= request.deadline:
+        if len(self.tried) >= PLACEMENTS.get(refusal.reason, 0):
             return False
-        is_unsent = reason in UNSENT_REASONS
-        if is_unsent and len(self.tried) < MOST_PLACEMENTS:
-            ingress.metrics.retry_children[reason].inc()
-            return True
-        return self.pay_retry(reason)
+        is_quick = clock.now() < self.sent_at + QUICK_REFUSAL_S
+        if refusal.reason == Reason.OVERLOADED and not is_quick:
+            return False
+        balancer = self.ingress.balancer
+        return balancer.has_untried(self.service, self.tried)
 
     def may_abandon(self) -> bool:
         """Tell whether an overdue answer can be asked for elsewhere."""
@@ -448,9 +465,13 @@
         if not self.origin.budget.spend():
             metrics.retries_withheld.labels('request_budget').inc()
             return False
-        metrics.retry_children[reason].inc()
+        self.count_retry(reason)
         return True
 
+    def count_retry(self, reason: Reason) -> None:
+        """Count another attempt by what ended the one before."""
+        self.ingress.metrics.retry_children[reason].inc()
+
     def choose_server(self, match: RouteMatch) -> NodeState:
         """Return the server for the next attempt."""
         ingress = self.ingress
@@ -557,7 +578,15 @@
     ) -> None:
         """Learn from a whole answer."""
         ingress = self.ingress
-        ingress.balancer.view(server.name).succeed(answer.meta)
+        # What failed for lack of room below is no fault of the server.
+        is_own_failure = (
+            answer.head.status >= SERVER_ERROR
+            and answer.meta.deep_level <= CLEAR_SIGN
+        )
+        ingress.balancer.view(server.name).learn_answer(
+            answer.meta,
+            has_failed=is_own_failure,
+        )
         ingress.tokens(self.service).earn()
         self.learn_deep(match, 0, answer.meta.deep_level)
         latency = clock.now() - self.started
--- a/limpetshore/messages.py
+++ b/limpetshore/messages.py
@@ -59,7 +59,8 @@
     """Travel with an answer from the guard to the ingress.
 
     `verdict` and `reason` are empty for an answer of the backend server.
-    `confirmed_age` is in seconds since the store was known to be up.
+    `service_time` is what the server takes for a request, in seconds, and
+    `confirmed_age` how long ago the store was known to be up.
     """
 
     verdict: str
@@ -69,6 +70,7 @@
     level: float
     deep_level: float
     load: float
+    service_time: float = 0
     policy_version: int = 0
     confirmed_age: float = NEVER_S
 
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -82,3 +82,47 @@
         balancer.view(name).put_aside()
     chosen = {balancer.choose('stock', []).name for _ in range(200)}
     assert len(chosen) == 4
+
+
+def draw(balancer, count=2000):
+    """Return the share of requests that each server gets."""
+    names = [balancer.choose('stock', []).name for _ in range(count)]
+    return {name: names.count(name) / count for name in set(names)}
+
+
+def test_server_that_is_twelve_times_slower_gets_next_to_nothing(still_clock):
+    """Draw by what a request would take, not by how many are there."""
+    balancer = build_balancer()
+    for name, service_time in (('node-0', 0.26), ('node-1', 0.02)):
+        answer = IDLE._replace(load=0.5, service_time=service_time)
+        balancer.view(name).learn_answer(answer, has_failed=False)
+    for name in ('node-2', 'node-3'):
+        answer = IDLE._replace(load=0.6, service_time=0.025)
+        balancer.view(name).learn_answer(answer, has_failed=False)
+    shares = draw(balancer)
+    assert shares.get('node-0', 0) < 0.02
+    assert min(shares[name] for name in ('node-1', 'node-2', 'node-3')) > 0.15
+
+
+def test_server_that_fails_quickly_gets_less(still_clock):
+    """Keep quick failures from looking like a fast server."""
+    balancer = build_balancer()
+    for number in range(4):
+        view = balancer.view(f'node-{number}')
+        for _ in range(60):
+            answer = IDLE._replace(load=0.5, service_time=0.02)
+            view.learn_answer(answer, has_failed=number == 0)
+    assert draw(balancer).get('node-0', 0) < 0.05
+
+
+def test_near_servers_get_more_while_they_have_room(still_clock):
+    """Prefer the own zone, but not when its servers are full."""
+    balancer = build_balancer()
+    table = balancer.table
+    for name in ('node-2', 'node-3'):
+        table.merge(table.get(name)._replace(zone='zone-b', revision=3))
+    assert draw(balancer)['node-0'] > 0.35
+    for name in ('node-0', 'node-1'):
+        full = IDLE._replace(load=2, service_time=0.02)
+        balancer.view(name).learn_answer(full, has_failed=False)
+    assert draw(balancer).get('node-0', 0) < 0.1
