--- a/limpetshore/ingress.py
+++ b/limpetshore/ingress.py
@@ -470,7 +470,8 @@
 
     def count_retry(self, reason: Reason) -> None:
         """Count another attempt by what ended the one before."""
-        self.ingress.metrics.retry_children[reason].inc()
+        children = self.ingress.metrics.retry_children
+        children[reason].inc()
 
     def choose_server(self, match: RouteMatch) -> NodeState:
         """Return the server for the next attempt."""
