--- /dev/null
+++ b/limpetshore/attempts.py
@@ -0,0 +1,310 @@
+"""Try servers until one answers a request, and learn from each attempt."""
+
+from typing import NamedTuple
+
+from limpetshore import clock
+from limpetshore.bodies import AnswerSender, CallerGoneError
+from limpetshore.budgets import is_retry_safe
+from limpetshore.callers import Origin
+from limpetshore.dialects import ID_BYTES, MS_IN_S, RequestName
+from limpetshore.entry import EntryState
+from limpetshore.errors import RefusedError, TruncatedError, refuse
+from limpetshore.exchanges import (
+    Answer,
+    AnswerRefusedError,
+    Exchange,
+    OutboundRequest,
+)
+from limpetshore.messages import NodeState, clean_headers, take_header
+from limpetshore.peers import pass_on
+from limpetshore.policies import RouteMatch
+from limpetshore.randomness import random_pool
+from limpetshore.repeats import find_owner
+from limpetshore.shedding import CLEAR_SIGN
+from limpetshore.verdicts import UNSENT_REASONS, Reason, Refusal, Verdict
+
+# How often a request that no server has seen is placed, by what refused it.
+PLACEMENTS = {reason: 6 for reason in UNSENT_REASONS}
+PLACEMENTS[Reason.OVERLOADED] = 3
+QUICK_REFUSAL_S = 0.05
+SERVER_ERROR = 500
+SMALL_ANSWER_BYTES = 65536
+DEEP_LEVEL_WEIGHT = 0.2
+
+
+class EnteredCall(NamedTuple):
+    """Hold what is known of a request once its caller is identified.
+
+    A nested call comes from the local backend server on an open route;
+    `started` is on the local clock.
+    """
+
+    match: RouteMatch
+    origin: Origin
+    name: RequestName
+    service: str
+    started: float
+    is_nested: bool
+
+    def settle(self) -> None:
+        """Give back to the call above what its nested call did not spend."""
+        if self.origin.parent is not None:
+            budget = self.origin.budget
+            self.origin.parent.budget.settle(budget.granted, budget.spent)
+
+
+class Attempts:
+    """Place one request at a server after the other until one answers."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        call: EnteredCall,
+        sender: AnswerSender,
+    ) -> None:
+        """Start before the first attempt."""
+        self.state = state
+        self.call = call
+        self.sender = sender
+        self.is_repeatable = call.match.route.is_repeatable
+        self.tried: list[str] = []
+        self.sent_at = call.started
+
+    async def run(self, request: OutboundRequest) -> Exception | None:
+        """Try servers until one answers; return the last failure.
+
+        Failures are returned, not raised, since a task group would wrap them.
+        """
+        has_run = False
+        while True:
+            try:
+                await self.attempt(request)
+            except RefusedError as error:
+                refusal = error.refusal
+                has_run = has_run or refusal.verdict == Verdict.MAY_HAVE_RUN
+                if self.may_retry(request, error, has_run=has_run):
+                    continue
+                verdict = Verdict.MAY_HAVE_RUN if has_run else refusal.verdict
+                return RefusedError(refusal._replace(verdict=verdict))
+            except (CallerGoneError, TruncatedError) as error:
+                return error
+            return None
+
+    def may_retry(
+        self,
+        request: OutboundRequest,
+        error: RefusedError,
+        *,
+        has_run: bool,
+    ) -> bool:
+        """Decide on another attempt and pay for it."""
+        if request.rest is not None or self.sender.has_started:
+            return False
+        if clock.now() >= request.deadline:
+            return False
+        reason = error.refusal.reason
+        is_repeatable = self.is_repeatable
+        if (is_repeatable or not has_run) and self.may_place(error.refusal):
+            self.count_retry(reason)
+            return True
+        is_safe = is_retry_safe(
+            reason,
+            has_run=has_run,
+            is_repeatable=is_repeatable,
+        )
+        return is_safe and self.pay_retry(reason)
+
+    def may_place(self, refusal: Refusal) -> bool:
+        """Tell whether to try a server that has not refused the request yet.
+
+        No server has seen the request, so that it costs no retry.
+        """
+        if refusal.verdict != Verdict.NOT_RUN:
+            return False
+        if len(self.tried) >= PLACEMENTS.get(refusal.reason, 0):
+            return False
+        is_quick = clock.now() < self.sent_at + QUICK_REFUSAL_S
+        if refusal.reason == Reason.OVERLOADED and not is_quick:
+            return False
+        balancer = self.state.balancer
+        return balancer.has_untried(self.call.service, self.tried)
+
+    def may_abandon(self) -> bool:
+        """Tell whether an overdue answer can be asked for elsewhere."""
+        return (
+            self.is_repeatable
+            and self.call.origin.budget.left > 0
+            and self.state.tokens(self.call.service).tokens >= 1
+        )
+
+    def pay_retry(self, reason: Reason) -> bool:
+        """Take a retry from both budgets; return False if one is empty."""
+        metrics = self.state.metrics
+        if not self.state.tokens(self.call.service).spend():
+            metrics.retries_withheld.labels('service_tokens').inc()
+            return False
+        if not self.call.origin.budget.spend():
+            metrics.retries_withheld.labels('request_budget').inc()
+            return False
+        self.count_retry(reason)
+        return True
+
+    def count_retry(self, reason: Reason) -> None:
+        """Count another attempt by what ended the one before."""
+        children = self.state.metrics.retry_children
+        children[reason].inc()
+
+    def choose_server(self) -> NodeState:
+        """Return the server for the next attempt."""
+        state = self.state
+        service = self.call.service
+        server: NodeState | None = None
+        if self.is_repeatable or not self.call.name.is_from_caller:
+            server = state.balancer.choose(service, self.tried)
+        else:
+            owner = find_owner(
+                self.call.name.text,
+                state.standing.list_owners(service),
+            )
+            server = state.balancer.table.get(owner or '')
+        if server is None:
+            raise refuse(
+                Reason.NO_SERVER,
+                f'no server of {service} is known',
+            )
+        return server
+
+    async def attempt(
+        self,
+        request: OutboundRequest,
+    ) -> None:
+        """Have one server answer, and pass the answer to the caller."""
+        server = self.choose_server()
+        self.tried.append(server.name)
+        view = self.state.balancer.view(server.name)
+        lent = self.call.origin.budget.lend()
+        estimate = self.state.latency(self.call.match.name)
+        self.sent_at = clock.now()
+        sent = self.prepare_attempt(request, lent, estimate.patience())
+        exchange = self.state.open_exchange(server)
+        spent = lent  # what an attempt spent that ends without a word
+        view.in_flight += 1
+        try:
+            answer = await exchange.open(sent)
+            estimate.observe(clock.now() - self.sent_at)
+            spent = answer.meta.retries_spent
+            await self.deliver_and_learn(server, exchange, answer)
+        except AnswerRefusedError as error:
+            spent = error.meta.retries_spent
+            view.learn_refusal(error.meta, error.refusal.reason)
+            self.learn_deep(error.meta.level, error.meta.deep_level)
+            raise
+        except RefusedError as error:
+            if error.refusal.verdict == Verdict.NOT_RUN:
+                spent = 0
+            view.learn_loss(error.refusal.reason)
+            raise
+        except TruncatedError:
+            view.fail()
+            raise
+        finally:
+            view.in_flight -= 1
+            self.call.origin.budget.settle(lent, spent)
+            await exchange.close()
+
+    def prepare_attempt(
+        self,
+        request: OutboundRequest,
+        lent: int,
+        patience_s: float | None,
+    ) -> OutboundRequest:
+        """Return the request as one attempt sends it."""
+        left_ms = int((request.deadline - clock.now()) * MS_IN_S)
+        meta = request.meta._replace(
+            call_id=random_pool.take_hex(ID_BYTES),
+            timeout_ms=max(1, left_ms),
+            retries_left=lent,
+        )
+        return request._replace(
+            meta=meta,
+            patience_s=patience_s,
+            may_abandon=self.may_abandon,
+        )
+
+    async def deliver_and_learn(
+        self,
+        server: NodeState,
+        exchange: Exchange,
+        answer: Answer,
+    ) -> None:
+        """Pass an answer on and learn once it is whole."""
+        self.state.learn(answer.meta, server, clock.now() - self.sent_at)
+        has_failed = answer.head.status >= SERVER_ERROR
+        self.state.shedding.observe(
+            self.call.match.name,
+            is_wasted=has_failed and answer.meta.deep_level > CLEAR_SIGN,
+        )
+        await self.deliver(exchange, answer)
+        self.learn_success(server, answer)
+        if self.call.is_nested:
+            self.state.guard.turned_away.count(is_refused=False)
+
+    def learn_success(
+        self,
+        server: NodeState,
+        answer: Answer,
+    ) -> None:
+        """Learn from a whole answer."""
+        state = self.state
+        # What failed for lack of room below is no fault of the server.
+        is_own_failure = (
+            answer.head.status >= SERVER_ERROR
+            and answer.meta.deep_level <= CLEAR_SIGN
+        )
+        state.balancer.view(server.name).learn_answer(
+            answer.meta,
+            has_failed=is_own_failure,
+        )
+        state.tokens(self.call.service).earn()
+        self.learn_deep(0, answer.meta.deep_level)
+        latency = clock.now() - self.call.started
+        state.metrics.observe_answer('ingress', latency)
+
+    def learn_deep(
+        self,
+        level: float,
+        deep_level: float,
+    ) -> None:
+        """Pass admission levels on to the route and to the call above."""
+        self.state.deep_level(self.call.match.name).report(
+            deep_level,
+            DEEP_LEVEL_WEIGHT,
+        )
+        if self.call.origin.parent:
+            self.call.origin.parent.report_deep_level(max(level, deep_level))
+
+    async def deliver(self, exchange: Exchange, answer: Answer) -> None:
+        """Pass an answer on; a short one only once it is whole."""
+        length = take_header(answer.head.headers, b'content-length')
+        marks = self.state.callers.dialect.mark_answer(self.call.name.text)
+        if length is None or int(length) > SMALL_ANSWER_BYTES:
+            await pass_on(exchange, self.sender, answer, marks)
+            return
+        chunks = []
+        try:
+            while chunk := await exchange.read_chunk():
+                chunks.append(chunk)
+        except TruncatedError as error:
+            raise refuse(
+                Reason.TRUNCATED,
+                str(error),
+                verdict=Verdict.MAY_HAVE_RUN,
+            ) from error
+        headers = clean_headers(answer.head.headers, frozenset())
+        # The slot is free before a slow caller has read its answer.
+        await exchange.close()
+        self.sender.send_whole(
+            answer.head.status,
+            [*headers, *marks],
+            b''.join(chunks),
+        )
--- /dev/null
+++ b/limpetshore/entry.py
@@ -0,0 +1,116 @@
+"""Hold what all requests that enter at a node share."""
+
+import random
+from collections.abc import Callable
+
+from limpetshore.balancing import Balancer
+from limpetshore.budgets import RetryTokens
+from limpetshore.callers import Callers
+from limpetshore.exchanges import Exchange
+from limpetshore.guard import Guard, GuardExchange
+from limpetshore.httpclient import HttpPool
+from limpetshore.latencies import LatencyEstimate
+from limpetshore.levels import ReportedLevel
+from limpetshore.messages import AnswerMeta, NodeState
+from limpetshore.metrics import Metrics
+from limpetshore.peers import PeerExchange
+from limpetshore.policies import PolicyIndex
+from limpetshore.settings import NodeSettings, parse_address
+from limpetshore.shedding import EdgeShedding
+from limpetshore.splits import Splitter
+from limpetshore.standing import Standing
+
+AnswerListener = Callable[[AnswerMeta, NodeState, float], None]
+
+
+class EntryState:
+    """Hold what all requests that enter at this node share."""
+
+    def __init__(  # noqa: WPS211
+        self,
+        settings: NodeSettings,
+        metrics: Metrics,
+        guard: Guard,
+        balancer: Balancer,
+        callers: Callers,
+        standing: Standing,
+        chance: random.Random,
+        learn: AnswerListener,
+    ) -> None:
+        """Start without a policy; `learn` hears of each node's answer."""
+        self.learn = learn
+        self.settings = settings
+        self.metrics = metrics
+        self.guard = guard
+        self.balancer = balancer
+        self.callers = callers
+        self.standing = standing
+        self.chance = chance
+        self.index: PolicyIndex | None = None
+        self.pools: dict[str, HttpPool] = {}
+        self.retry_tokens: dict[str, RetryTokens] = {}
+        self.deep_levels: dict[str, ReportedLevel] = {}
+        self.is_leaving = False
+        self.splitter = Splitter()
+        self.shedding = EdgeShedding(chance)
+        self.latencies: dict[str, LatencyEstimate] = {}
+        self.most_retry_tokens = settings.admission.retry_tokens
+        self.share_retries(1)
+
+    def pool(self, address: str) -> HttpPool:
+        """Return the connections to another node."""
+        found = self.pools.get(address)
+        if found is None:
+            found = HttpPool(
+                parse_address(address),
+                self.settings.call.max_idle_s,
+                self.settings.call.connect_s,
+            )
+            self.pools[address] = found
+        return found
+
+    def tokens(self, service: str) -> RetryTokens:
+        """Return the retry tokens of a service."""
+        found = self.retry_tokens.get(service)
+        if found is None:
+            earning = self.settings.admission.retry_earning
+            found = RetryTokens(self.most_retry_tokens, earning)
+            self.retry_tokens[service] = found
+        return found
+
+    def latency(self, route: str) -> LatencyEstimate:
+        """Return the estimate for the answers on a route."""
+        found = self.latencies.get(route)
+        if found is None:
+            found = LatencyEstimate()
+            self.latencies[route] = found
+        return found
+
+    def share_retries(self, nodes: int) -> None:
+        """Divide the retries that the fleet may save up among its nodes."""
+        total = self.settings.admission.fleet_retry_tokens
+        if not total:
+            return
+        self.most_retry_tokens = max(1, total / max(1, nodes))
+        for tokens in self.retry_tokens.values():
+            tokens.resize(self.most_retry_tokens)
+
+    def deep_level(self, route: str) -> ReportedLevel:
+        """Return the level met below a route."""
+        found = self.deep_levels.get(route)
+        if found is None:
+            found = ReportedLevel(self.settings.admission.level_half_life_s)
+            self.deep_levels[route] = found
+        return found
+
+    def open_exchange(self, server: NodeState) -> Exchange:
+        """Return the way to a server: the local guard or another node."""
+        if server.name == self.settings.node.name:
+            return GuardExchange(self.guard)
+        call = self.settings.call
+        return PeerExchange(
+            self.pool(server.peers),
+            call.silence_s,
+            call.stall_s,
+            call.quiet_s,
+        )
