--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -33,7 +33,17 @@
 
 def build_answer(version, age):
     """Return what comes with an answer of another node."""
-    return AnswerMeta('', '', 0, 0, 0, 0, 0, version, age)
+    return AnswerMeta(
+        verdict='',
+        reason='',
+        retry_after=0,
+        retries_spent=0,
+        level=0,
+        deep_level=0,
+        load=0,
+        policy_version=version,
+        confirmed_age=age,
+    )
 
 
 def learn(version, age, waited_s):
