--- a/limpetshore/platform/dialects.py
+++ b/limpetshore/platform/dialects.py
@@ -1,5 +1,7 @@
 """Speak the platform's headers and statuses."""
 
+import math
+
 from limpetshore.dialects import (
     AUTHORIZATION,
     ID_BYTES,
@@ -12,7 +14,6 @@
     decode_key,
     decode_request_id,
     read_bearer,
-    read_timeout,
 )
 from limpetshore.httpclient import Headers, ResponseHead
 from limpetshore.messages import take_header
@@ -20,6 +21,7 @@
 from limpetshore.randomness import random_pool
 from limpetshore.verdicts import HTTP_STATUS, Reason, Refusal, Verdict
 
+LEAST_TIMEOUT_MS = 1
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
@@ -59,8 +61,19 @@
         return decode_key(key) if key else None
 
     def read_timeout_s(self, headers: Headers) -> float | None:
-        """Return the seconds the caller will wait, if it says so."""
-        return read_timeout(headers, wire.DEADLINE_MS)
+        """Return the seconds the caller will wait, if it says so.
+
+        A value that is no number says nothing; one below a millisecond is
+        taken for a millisecond, and the request is refused as too late.
+        """
+        given = take_header(headers, wire.DEADLINE_MS)
+        try:
+            given_ms = float(given or b'')
+        except ValueError:
+            return None
+        if not math.isfinite(given_ms):
+            return None
+        return max(LEAST_TIMEOUT_MS, given_ms) / MS_IN_S
 
     def read_token(self, headers: Headers) -> str | None:
         """Return nothing: nested calls carry no token here."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -332,3 +332,27 @@
     )
     assert done.returncode == 2
     assert b'/nowhere/settings' in done.stderr
+
+
+@pytest.mark.parametrize(
+    ('given_ms', 'timeout_s'),
+    [
+        (b'1200', 1.2),
+        (b'1200.0', 1.2),
+        (b'0', 0.001),
+        (b'-5', 0.001),
+        (b'soon', None),
+        (b'inf', None),
+    ],
+)
+def test_odd_deadline_denies_nobody(given_ms, timeout_s):
+    """Read any number, and let the route decide where there is none."""
+    headers = [(wire.DEADLINE_MS, given_ms)]
+    assert PlatformCallerDialect().read_timeout_s(headers) == timeout_s
+
+
+def test_id_of_a_call_eleven_deep_is_accepted():
+    """Accept ids that grow with the depth of the call graph."""
+    request_id = '.'.join(['9c41d07be2a35f68'] * 11)
+    headers = [(wire.REQUEST_ID, request_id.encode())]
+    assert PlatformCallerDialect().read_name(headers).text == request_id
