--- a/limpetshore/dialects.py
+++ b/limpetshore/dialects.py
@@ -27,7 +27,7 @@
 SHED_STATUS = 503
 MS_IN_S = 1000
 ID_BYTES = 9
-MAX_REQUEST_ID_LENGTH = 512
+MAX_REQUEST_ID_LENGTH = 128
 MAX_KEY_LENGTH = 512
 
 
@@ -237,9 +237,12 @@
     return int(given) / MS_IN_S
 
 
-def decode_request_id(given: bytes) -> str:
+def decode_request_id(
+    given: bytes,
+    most_bytes: int = MAX_REQUEST_ID_LENGTH,
+) -> str:
     """Return a request id as text, or refuse one that is unfit."""
     is_plain = given.isascii() and given.decode('latin-1').isprintable()
-    if not is_plain or not 0 < len(given) <= MAX_REQUEST_ID_LENGTH:
+    if not is_plain or not 0 < len(given) <= most_bytes:
         raise refuse(Reason.REQUEST_ID, 'the id is empty, too long or not text')
     return given.decode()
--- a/limpetshore/platform/dialects.py
+++ b/limpetshore/platform/dialects.py
@@ -22,6 +22,8 @@
 from limpetshore.verdicts import HTTP_STATUS, Reason, Refusal, Verdict
 
 LEAST_TIMEOUT_MS = 1
+# Ids of calls name their parents, each level with one more part.
+MOST_REQUEST_ID_BYTES = 512
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
@@ -49,7 +51,9 @@
     def read_name(self, headers: Headers) -> RequestName:
         """Return the id of this attempt, which no caller sends again."""
         given = take_header(headers, wire.REQUEST_ID)
-        name = decode_request_id(given) if given else ''
+        name = ''
+        if given:
+            name = decode_request_id(given, MOST_REQUEST_ID_BYTES)
         return RequestName(
             name or random_pool.take_hex(ID_BYTES),
             is_from_caller=False,
