--- a/limpetshore/platform/configuration.py
+++ b/limpetshore/platform/configuration.py
@@ -23,7 +23,7 @@
 UNLIMITED = 1_000_000
 MOST_RETRIES = 10
 WINDOW_S = 5
-BURST_SHARE = 0.25
+BURST_SHARE = 0.2
 TOLERATED_SHARE = 0.04
 TOLERATED = 8
 
@@ -94,7 +94,7 @@
     stays below that.
 
     >>> build_limit(CustomerEntry(rate=100, burst=100))
-    Limit(rate=96.4, burst=150)
+    Limit(rate=102.4, burst=120)
     """
     if not entry.rate:
         return Limit(UNLIMITED, UNLIMITED)
