--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -7,7 +7,7 @@
 
 from limpetshore import clock
 from limpetshore.members import MemberTable, Status
-from limpetshore.messages import NodeState
+from tests.builders import build_node_state as build_state
 
 
 @pytest.fixture(scope='module', autouse=True)
@@ -19,23 +19,6 @@
     clock.process_clock.source = before
 
 
-def build_state(name='node-a', **changes):
-    """Return the state of a node."""
-    state = NodeState(
-        name=name,
-        incarnation=5,
-        revision=0,
-        status=int(Status.READY),
-        service='stock',
-        zone='zone-a',
-        region='region',
-        peers='10.0.0.1:7001',
-        control='10.0.0.1:7002',
-        slots=10,
-    )
-    return state._replace(**changes)
-
-
 def build_table(own='node-a'):
     """Return the table of one node on a clock that stands still."""
     return MemberTable(build_state(own))
