Ask dry nodes for tokens ten times a second, not without end

Cause, by reading: a request that waited for a token started the next round of asks as soon as one had failed. The test ended without a result on the code before (20 s bound); it passes after, with test_conserved, test_path and the doctests.

--- a/limpetshore/borrowing.py
+++ b/limpetshore/borrowing.py
@@ -16,6 +16,7 @@
 LEAST_WANTED = 2
 DEMAND_S = 0.25
 DRY_S = 0.1
+OWN_TOKEN_POLL_S = 0.02
 
 
 class Spender(ABC):
@@ -107,9 +108,12 @@
     async def wait_for_token(self, customer: str, account: Account) -> None:
         """Borrow until there is a token."""
         while not self.budgets.take(customer):
+            dry_s = account.dry_until - clock.now()
+            if dry_s > 0:
+                await anyio.sleep(min(dry_s, OWN_TOKEN_POLL_S))
+                continue
             self.start_borrowing(customer, account)
-            changed = account.changed
-            await changed.wait()
+            await account.changed.wait()
 
     def start_borrowing(self, customer: str, account: Account) -> None:
         """Ask some nodes, unless they are being asked."""
@@ -134,5 +138,3 @@
                 account.dry_until = clock.now() + DRY_S
             account.changed.set()
             account.changed = anyio.Event()
-        if not given:
-            await anyio.sleep(0)
--- a/tests/test_conserved.py
+++ b/tests/test_conserved.py
@@ -216,3 +216,46 @@
         return while_leaving, own.buckets['harbour'].part.rate
 
     assert run_paused(run) == (10, 40 / 3)
+
+
+class DryLender(Lender):
+    """Give nothing, and count how often it is asked."""
+
+    def __init__(self):
+        """Start unasked."""
+        self.asked = 0
+
+    async def ask(self, name, request):
+        """Answer at once that there is nothing to give."""
+        self.asked += 1
+        await anyio.sleep(0.003)
+        return 0
+
+
+@pytest.mark.parametrize('nodes', [1, 8])
+def test_dry_nodes_are_asked_only_now_and_then(nodes):
+    """Ask a few nodes ten times a second however many requests come."""
+
+    async def run():
+        chance = random.Random(1)
+        budgets = build_budgets(
+            nodes,
+            Customer(rate=1, burst=32),
+            chance,
+        )['node-0']
+        lender = DryLender()
+
+        async def one():
+            try:
+                await borrower.spend('harbour')
+            except RefusedError:
+                return
+
+        async with anyio.create_task_group() as tasks:
+            borrower = Borrower(budgets, lender, tasks, 0.05)
+            for _ in range(400):
+                await anyio.sleep(0.005)
+                tasks.start_soon(one)
+        return lender.asked
+
+    assert run_paused(run) <= 3 * 10 * 2 + 3
