--- a/limpetshore/entry.py
+++ b/limpetshore/entry.py
@@ -50,7 +50,6 @@
         self.pools: dict[str, HttpPool] = {}
         self.retry_tokens: dict[str, RetryTokens] = {}
         self.deep_levels: dict[str, ReportedLevel] = {}
-        self.is_leaving = False
         self.splitter = Splitter()
         self.shedding = EdgeShedding(chance)
         self.latencies: dict[str, LatencyEstimate] = {}
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -254,7 +254,6 @@
         """Tell peers to send new work elsewhere."""
         self.guard.is_leaving = True
         self.keeper.is_leaving = True
-        self.ingress.is_leaving = True
         self.callers_server.announce_stop()
         backend = self.guard.backend
         self.table.update_own(Status.LEFT, backend.slots, backend.instance)
