--- a/limpetshore/attempts.py
+++ b/limpetshore/attempts.py
@@ -13,10 +13,16 @@
     Answer,
     AnswerRefusedError,
     Exchange,
+    Inbound,
     OutboundRequest,
 )
-from limpetshore.messages import NodeState, clean_headers, take_header
-from limpetshore.peers import pass_on
+from limpetshore.messages import (
+    CallMeta,
+    NodeState,
+    clean_headers,
+    take_header,
+)
+from limpetshore.peers import NO_NAMES, pass_on
 from limpetshore.policies import RouteMatch
 from limpetshore.randomness import random_pool
 from limpetshore.repeats import find_owner
@@ -70,7 +76,7 @@
         self.tried: list[str] = []
         self.sent_at = call.started
 
-    async def run(self, request: OutboundRequest) -> Exception | None:
+    async def run(self, inbound: Inbound) -> Exception | None:
         """Try servers until one answers; return the last failure.
 
         Failures are returned, not raised, since a task group would wrap them.
@@ -78,11 +84,11 @@
         has_run = False
         while True:
             try:
-                await self.attempt(request)
+                await self.attempt(inbound)
             except RefusedError as error:
                 refusal = error.refusal
                 has_run = has_run or refusal.verdict == Verdict.MAY_HAVE_RUN
-                if self.may_retry(request, error, has_run=has_run):
+                if self.may_retry(inbound, error, has_run=has_run):
                     continue
                 verdict = Verdict.MAY_HAVE_RUN if has_run else refusal.verdict
                 return RefusedError(refusal._replace(verdict=verdict))
@@ -92,15 +98,15 @@
 
     def may_retry(
         self,
-        request: OutboundRequest,
+        inbound: Inbound,
         error: RefusedError,
         *,
         has_run: bool,
     ) -> bool:
         """Decide on another attempt and pay for it."""
-        if request.rest is not None or self.sender.has_started:
+        if inbound.rest is not None or self.sender.has_started:
             return False
-        if clock.now() >= request.deadline:
+        if clock.now() >= self.call.origin.context.deadline:
             return False
         reason = error.refusal.reason
         is_repeatable = self.is_repeatable
@@ -174,10 +180,7 @@
             )
         return server
 
-    async def attempt(
-        self,
-        request: OutboundRequest,
-    ) -> None:
+    async def attempt(self, inbound: Inbound) -> None:
         """Have one server answer, and pass the answer to the caller."""
         server = self.choose_server()
         self.tried.append(server.name)
@@ -185,7 +188,7 @@
         lent = self.call.origin.budget.lend()
         estimate = self.state.latency(self.call.match.name)
         self.sent_at = clock.now()
-        sent = self.prepare_attempt(request, lent, estimate.patience())
+        sent = self.build_request(inbound, lent, estimate.patience())
         exchange = self.state.open_exchange(server)
         spent = lent  # what an attempt spent that ends without a word
         view.in_flight += 1
@@ -212,23 +215,37 @@
             self.call.origin.budget.settle(lent, spent)
             await exchange.close()
 
-    def prepare_attempt(
+    def build_request(
         self,
-        request: OutboundRequest,
+        inbound: Inbound,
         lent: int,
         patience_s: float | None,
     ) -> OutboundRequest:
         """Return the request as one attempt sends it."""
-        left_ms = int((request.deadline - clock.now()) * MS_IN_S)
-        meta = request.meta._replace(
-            call_id=random_pool.take_hex(ID_BYTES),
-            timeout_ms=max(1, left_ms),
-            retries_left=lent,
+        call = self.call
+        context = call.origin.context
+        left_ms = int((context.deadline - self.sent_at) * MS_IN_S)
+        meta = CallMeta(
+            random_pool.take_hex(ID_BYTES),
+            call.name.text,
+            context.customer,
+            call.match.name,
+            context.importance,
+            max(1, left_ms),
+            lent,
+            context.depth,
+            self.is_repeatable,
+            call.name.is_from_caller,
+            call.service,
+            self.state.settings.backend.service,
         )
-        return request._replace(
-            meta=meta,
-            patience_s=patience_s,
-            may_abandon=self.may_abandon,
+        return OutboundRequest(
+            inbound,
+            meta,
+            context.deadline,
+            None,
+            patience_s,
+            self.may_abandon,
         )
 
     async def deliver_and_learn(
@@ -290,21 +307,26 @@
         if length is None or int(length) > SMALL_ANSWER_BYTES:
             await pass_on(exchange, self.sender, answer, marks)
             return
-        chunks = []
-        try:
-            while chunk := await exchange.read_chunk():
-                chunks.append(chunk)
-        except TruncatedError as error:
-            raise refuse(
-                Reason.TRUNCATED,
-                str(error),
-                verdict=Verdict.MAY_HAVE_RUN,
-            ) from error
-        headers = clean_headers(answer.head.headers, frozenset())
+        body = exchange.take_whole()
+        if body is None:
+            body = await read_rest(exchange)
+        headers = clean_headers(answer.head.headers, NO_NAMES)
+        headers += marks
         # The slot is free before a slow caller has read its answer.
         await exchange.close()
-        self.sender.send_whole(
-            answer.head.status,
-            [*headers, *marks],
-            b''.join(chunks),
-        )
+        self.sender.send_whole(answer.head.status, headers, body)
+
+
+async def read_rest(exchange: Exchange) -> bytes:
+    """Return the body of an answer, or refuse one that is cut short."""
+    chunks = []
+    try:
+        while chunk := await exchange.read_chunk():
+            chunks.append(chunk)
+    except TruncatedError as error:
+        raise refuse(
+            Reason.TRUNCATED,
+            str(error),
+            verdict=Verdict.MAY_HAVE_RUN,
+        ) from error
+    return b''.join(chunks)
--- a/limpetshore/balancing.py
+++ b/limpetshore/balancing.py
@@ -1,7 +1,9 @@
 """Choose a backend server for each attempt."""
 
+import bisect
 import random
 from collections.abc import Collection
+from typing import NamedTuple
 
 from limpetshore import clock
 from limpetshore.levels import ReportedLevel
@@ -85,6 +87,13 @@
             self.aside_until = clock.now() + aside_s
 
 
+class Candidate(NamedTuple):
+    """Hold a server that may be drawn, and what was seen of it."""
+
+    state: NodeState
+    view: ServerView
+
+
 class Balancer:
     """Draw servers at random, the likelier the sooner they would answer.
 
@@ -116,11 +125,10 @@
 
     def list_usable(self, service: str) -> list[NodeState]:
         """Return the servers of a service that take new work."""
-        return [
-            state
-            for state in self.table.find_service(service)
-            if state.name not in self.drained
-        ]
+        found = self.table.find_service(service)
+        if not self.drained:
+            return found
+        return [state for state in found if state.name not in self.drained]
 
     def has_untried(self, service: str, tried: Collection[str]) -> bool:
         """Tell whether some server of a service was not tried yet."""
@@ -136,36 +144,39 @@
     ) -> NodeState | None:
         """Return a server for the next attempt, or None if there is none."""
         usable = self.list_usable(service)
-        fresh = [state for state in usable if state.name not in tried]
-        candidates = self.leave_out_aside(fresh or usable)
+        if tried:
+            fresh = [state for state in usable if state.name not in tried]
+            usable = fresh or usable
+        candidates = self.leave_out_aside(
+            [Candidate(state, self.view(state.name)) for state in usable],
+        )
         if not candidates:
             return None
-        costs = self.list_costs(candidates)
-        weights = [1 / cost**PREFERENCE for cost in costs]
-        return self.chance.choices(candidates, weights)[0]
+        return self.draw(candidates).state
 
-    def leave_out_aside(self, states: list[NodeState]) -> list[NodeState]:
+    def leave_out_aside(self, candidates: list[Candidate]) -> list[Candidate]:
         """Drop servers put aside, but never more than a share of them."""
-        good = [state for state in states if not self.view(state.name).is_aside]
-        if len(good) < len(states) * ASIDE_SHARE:
-            return states
+        now = clock.now()
+        good = [one for one in candidates if now >= one.view.aside_until]
+        if len(good) < len(candidates) * ASIDE_SHARE:
+            return candidates
         return good
 
-    def list_costs(self, states: list[NodeState]) -> list[float]:
-        """Return for each server about how long a request would take.
-
-        A server that has told nothing yet is taken for an average one.
-        """
-        views = [self.view(state.name) for state in states]
-        known = [view.service_time for view in views if view.service_time]
-        usual = sum(known) / len(known) if known else 1
-        return [
-            (view.service_time or usual) * self.pressure(view, state)
-            for view, state in zip(views, states, strict=True)
-        ]
-
-    def pressure(self, view: ServerView, state: NodeState) -> float:
+    def draw(self, candidates: list[Candidate]) -> Candidate:
+        """Return one at random, the likelier the sooner it would answer."""
+        usual = find_usual_time(candidates)
+        weights = []
+        total: float = 0
+        for candidate in candidates:
+            service_time = candidate.view.service_time or usual
+            total += (service_time * self.pressure(candidate)) ** -PREFERENCE
+            weights.append(total)
+        drawn = self.chance.random() * total
+        return candidates[bisect.bisect(weights, drawn, 0, len(weights) - 1)]
+
+    def pressure(self, candidate: Candidate) -> float:
         """Return how much longer a request takes where others are before it."""
+        state, view = candidate
         pressure = IDLE_PRESSURE + view.load
         pressure += view.in_flight / max(1, state.slots)
         if state.zone != self.zone:
@@ -174,8 +185,20 @@
 
     def service_level(self, service: str) -> float:
         """Return the lowest admission level among the servers of a service."""
-        levels = [
-            self.view(state.name).level.read()
-            for state in self.list_usable(service)
-        ]
-        return min(levels, default=0)
+        lowest: float = 0
+        for state in self.list_usable(service):
+            level = self.view(state.name).level.read()
+            if not level:
+                return 0
+            lowest = min(lowest or level, level)
+        return lowest
+
+
+def find_usual_time(candidates: list[Candidate]) -> float:
+    """Return the mean service time of those that have told theirs."""
+    known = [
+        candidate.view.service_time
+        for candidate in candidates
+        if candidate.view.service_time
+    ]
+    return sum(known) / len(known) if known else 1
--- a/limpetshore/exchanges.py
+++ b/limpetshore/exchanges.py
@@ -25,13 +25,11 @@
     return False
 
 
-class OutboundRequest(NamedTuple):
-    """Hold a request on its way; `deadline` is on the local clock.
+class Inbound(NamedTuple):
+    """Hold a request as it came in, for as many attempts as it takes.
 
     `first` is the part of the body already read, `rest` what follows, sent
-    by a task of its own in `tasks`. `origin` is the request as it came in.
-    After `patience_s` the answer is overdue; `may_abandon` tells whether the
-    request may then be sent to another server instead.
+    by a task of its own in `tasks`.
     """
 
     method: bytes
@@ -40,9 +38,20 @@
     first: bytes
     rest: AsyncIterator[bytes] | None
     length: bytes | None
+    tasks: TaskGroup | None = None
+
+
+class OutboundRequest(NamedTuple):
+    """Hold one attempt at a request; `deadline` is on the local clock.
+
+    `origin` is the request of another node that the attempt serves. After
+    `patience_s` the answer is overdue; `may_abandon` tells whether the request
+    may then be sent to another server instead.
+    """
+
+    inbound: Inbound
     meta: CallMeta
     deadline: float
-    tasks: TaskGroup | None
     origin: ServerRequest | None = None
     patience_s: float | None = None
     may_abandon: Callable[[], bool] = never
@@ -79,6 +88,10 @@
     def has_chunk(self) -> bool:
         """Tell whether `read_chunk` returns without waiting."""
 
+    @abstractmethod
+    def take_whole(self) -> bytes | None:
+        """Return the whole body if all of it is there, else None."""
+
     @abstractmethod
     async def read_chunk(self) -> bytes:
         """Return the next piece of the answer, empty at its end."""
@@ -90,50 +103,47 @@
 
 async def send_request(
     connection: HttpConnection,
-    request: OutboundRequest,
-    headers: Headers,
+    inbound: Inbound,
+    extra: Headers,
 ) -> None:
     """Send the head and the body, a streamed body from a task of its own."""
-    headers = [*headers, *frame_headers(request)]
-    if request.rest is None:
+    headers = [*inbound.headers, *extra, *frame_headers(inbound)]
+    if inbound.rest is None:
         await connection.send_head(
-            request.method,
-            request.target,
+            inbound.method,
+            inbound.target,
             headers,
-            request.first,
+            inbound.first,
         )
         return
-    await connection.send_head(request.method, request.target, headers)
+    await connection.send_head(inbound.method, inbound.target, headers)
     connection.is_request_sent = False
-    request.tasks.start_soon(pump_body, connection, request)
+    inbound.tasks.start_soon(pump_body, connection, inbound)
 
 
-def frame_headers(request: OutboundRequest) -> Headers:
+def frame_headers(inbound: Inbound) -> Headers:
     """Return the headers that tell how long the body is."""
-    if request.length is not None:
-        return [(b'content-length', request.length)]
-    if request.rest is not None:
+    if inbound.length is not None:
+        return [(b'content-length', inbound.length)]
+    if inbound.rest is not None:
         return [(b'transfer-encoding', b'chunked')]
-    if request.first:
-        return [(b'content-length', b'%d' % len(request.first))]
+    if inbound.first:
+        return [(b'content-length', b'%d' % len(inbound.first))]
     return []
 
 
-async def pump_body(
-    connection: HttpConnection,
-    request: OutboundRequest,
-) -> None:
+async def pump_body(connection: HttpConnection, inbound: Inbound) -> None:
     """Send a body as it comes; the reader of the answer sees a failure."""
-    is_chunked = request.length is None
+    is_chunked = inbound.length is None
     try:
-        await send_piece(connection, request.first, is_chunked=is_chunked)
-        async for piece in request.rest:
+        await send_piece(connection, inbound.first, is_chunked=is_chunked)
+        async for piece in inbound.rest:
             await send_piece(connection, piece, is_chunked=is_chunked)
         if is_chunked:
             await connection.send(b'0\r\n\r\n')
         connection.is_request_sent = True
     except CallerGoneError:
-        request.tasks.cancel_scope.cancel()
+        inbound.tasks.cancel_scope.cancel()
     except LimpetshoreError:
         connection.close()
 
--- a/limpetshore/guard.py
+++ b/limpetshore/guard.py
@@ -263,7 +263,8 @@
         if request.origin and not request.meta.is_repeatable:
             request.origin.is_detached = True
         try:
-            await send_request(connection, request, self.add_headers(request))
+            extra = self.build_headers(request)
+            await send_request(connection, request.inbound, extra)
             head = await self.read_own_head(connection, request)
         except (BrokenError, TruncatedError) as error:
             raise refuse(
@@ -320,8 +321,8 @@
         self.call = RunningCall(context, meta.retries_left)
         self.token = self.guard.running.start(self.call)
 
-    def add_headers(self, request: OutboundRequest) -> Headers:
-        """Return the headers for the server."""
+    def build_headers(self, request: OutboundRequest) -> Headers:
+        """Return the headers that tell the server of the call."""
         meta = request.meta
         call = ServerCall(
             meta.request_id,
@@ -331,14 +332,20 @@
             request.deadline - clock.now(),
         )
         instance = self.guard.backend.instance
-        headers = self.guard.dialect.build_headers(call, instance)
-        return [*request.headers, *headers]
+        return self.guard.dialect.build_headers(call, instance)
 
     @property
     def has_chunk(self) -> bool:
         """Tell whether `read_chunk` returns without waiting."""
         return self.connection.has_chunk
 
+    def take_whole(self) -> bytes | None:
+        """Return the whole body if all of it is there, else None."""
+        body = self.connection.take_whole()
+        if body is not None:
+            self.finish_whole()
+        return body
+
     async def read_chunk(self) -> bytes:
         """Return the next piece of the answer, empty at its end."""
         chunk = await read_chunk_within(
--- a/limpetshore/httpclient.py
+++ b/limpetshore/httpclient.py
@@ -42,13 +42,14 @@
 class Response:
     """Collect what the HTTP parser reports of one answer."""
 
+    head: ResponseHead | None = None
+    is_complete = False
+    is_kept_alive = False
+
     def __init__(self) -> None:
         """Start before the first byte."""
         self.headers: Headers = []
-        self.head: ResponseHead | None = None
         self.body: deque[bytes] = deque()
-        self.is_complete = False
-        self.is_kept_alive = False
 
 
 class ResponseReader:
@@ -61,34 +62,31 @@
         """Start before the first byte; HEAD has answers without body."""
         self.is_bodyless = is_bodyless
         self.parser = httptools.HttpResponseParser(self)
-        self.responses: deque[Response] = deque((Response(),))
+        self.first = Response()
+        self.last = self.first
+        self.later: deque[Response] = deque()
         self.buffered = 0
 
-    @property
-    def first(self) -> Response:
-        """Return the answer that is read now."""
-        return self.responses[0]
-
-    @property
-    def last(self) -> Response:
-        """Return the answer that is received now."""
-        return self.responses[-1]
-
     @property
     def has_extra(self) -> bool:
         """Tell whether more came than the answer that is read now."""
-        return len(self.responses) > 1
+        return bool(self.later)
 
     def skip(self) -> None:
         """Drop the first answer, which is complete."""
-        if not self.has_extra:
-            self.responses.append(Response())
-        self.responses.popleft()
+        if not self.later:
+            self.start_another()
+        self.first = self.later.popleft()
+
+    def start_another(self) -> None:
+        """Receive a further answer from now on."""
+        self.last = Response()
+        self.later.append(self.last)
 
     def on_message_begin(self) -> None:
         """Start another answer once the one before is complete."""
         if self.last.is_complete:
-            self.responses.append(Response())
+            self.start_another()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep one header, its name in lower case."""
@@ -198,10 +196,9 @@
         """Send the request line, the headers and a short body."""
         self.reader = ResponseReader(is_bodyless=method == b'HEAD')
         self.is_reusable = False
-        lines = [b'%b: %b\r\n' % header for header in headers]
+        lines = b''.join([b'%b: %b\r\n' % header for header in headers])
         await self.send(
-            b'%b %b HTTP/1.1\r\n%b\r\n%b'
-            % (method, target, b''.join(lines), body),
+            b'%b %b HTTP/1.1\r\n%b\r\n%b' % (method, target, lines, body),
         )
 
     async def send(self, chunk: bytes) -> None:
@@ -234,13 +231,28 @@
             chunk = response.body.popleft()
             self.resume_reading(len(chunk))
             return chunk
+        self.finish_answer(response)
+        return b''
+
+    def take_whole(self) -> bytes | None:
+        """Return the whole body if all of it is there, else None."""
+        response = self.reader.first
+        if not response.is_complete:
+            return None
+        body = b''.join(response.body)
+        response.body.clear()
+        self.resume_reading(len(body))
+        self.finish_answer(response)
+        return body
+
+    def finish_answer(self, response: Response) -> None:
+        """Tell whether the connection is fit for another request."""
         self.is_reusable = (
             response.is_kept_alive
             and self.is_request_sent
             and not self.reader.has_extra
             and not self.is_lost
         )
-        return b''
 
     async def skip_answer(self) -> None:
         """Read an answer to its end and go on to the next one."""
--- a/limpetshore/ingress.py
+++ b/limpetshore/ingress.py
@@ -1,6 +1,6 @@
 """Take requests from callers and the local backend server to an answer."""
 
-from anyio.abc import TaskGroup
+import anyio
 from logbook import Logger
 
 from limpetshore import clock
@@ -15,11 +15,10 @@
 from limpetshore.dialects import RequestName
 from limpetshore.entry import EntryState
 from limpetshore.errors import RefusedError, TruncatedError, refuse
-from limpetshore.exchanges import OutboundRequest
+from limpetshore.exchanges import Inbound
 from limpetshore.httpclient import Headers
 from limpetshore.levels import should_refuse
-from limpetshore.messages import CallMeta, clean_headers, take_header
-from limpetshore.peers import run_with_tasks
+from limpetshore.messages import clean_headers, take_header
 from limpetshore.policies import Importance
 from limpetshore.schedule import suggest_return
 from limpetshore.serving import CallApp, ServerRequest
@@ -154,27 +153,19 @@
             await self.request.wait_turn()
         body = self.open_body()
         first = await body.read_first(self.state.settings.call.replay_bytes)
-        request = self.build_request(call, body, first)
-        if body.is_complete:
-            failure = await self.attempts.run(request)
+        inbound = self.build_inbound(body, first)
+        if inbound.rest is None:
+            failure = await self.attempts.run(inbound)
         else:
-            failure = await self.attempt_with_rest(request, body)
+            failure = await self.attempt_with_rest(inbound)
         if failure is not None:
             raise failure
 
-    async def attempt_with_rest(
-        self,
-        request: OutboundRequest,
-        body: RequestBody,
-    ) -> Exception | None:
+    async def attempt_with_rest(self, inbound: Inbound) -> Exception | None:
         """Try servers while the rest of the body still comes."""
-        failure: Exception | None = None
-
-        async def try_servers(tasks: TaskGroup | None) -> None:  # noqa: WPS430
-            nonlocal failure  # noqa: WPS420
-            failure = await self.attempts.run(request._replace(tasks=tasks))
-
-        await run_with_tasks(body, try_servers)
+        async with anyio.create_task_group() as tasks:
+            failure = await self.attempts.run(inbound._replace(tasks=tasks))
+            tasks.cancel_scope.cancel()
         return failure
 
     def check_levels(self, call: EnteredCall) -> None:
@@ -209,39 +200,14 @@
             stall_s=limits.stall_s,
         )
 
-    def build_request(
-        self,
-        call: EnteredCall,
-        body: RequestBody,
-        first: bytes,
-    ) -> OutboundRequest:
+    def build_inbound(self, body: RequestBody, first: bytes) -> Inbound:
         """Return what is sent on, without the caller's key."""
-        context = call.origin.context
-        meta = CallMeta(
-            call_id='',
-            request_id=self.name.text,
-            customer=context.customer,
-            route=call.match.name,
-            importance=int(context.importance),
-            timeout_ms=0,
-            retries_left=0,
-            depth=context.depth,
-            is_repeatable=call.match.route.is_repeatable,
-            is_id_from_caller=self.name.is_from_caller,
-            service=call.service,
-            caller_service=self.state.settings.backend.service,
-        )
-        return OutboundRequest(
-            method=self.request.method,
-            target=self.request.target,
-            headers=clean_headers(
-                self.headers,
-                self.dialect.dropped_headers,
-            ),
-            first=first,
-            rest=None if body.is_complete else body.read_rest(),
-            length=body.length,
-            meta=meta,
-            deadline=context.deadline,
-            tasks=None,
+        request = self.request
+        return Inbound(
+            request.method,
+            request.target,
+            clean_headers(self.headers, self.dialect.dropped_headers),
+            first,
+            None if body.is_complete else body.read_rest(),
+            body.length,
         )
--- a/limpetshore/messages.py
+++ b/limpetshore/messages.py
@@ -1,5 +1,6 @@
 """Define what nodes say to each other, and its encoding."""
 
+import functools
 from typing import Any, NamedTuple, TypeVar
 
 import msgspec
@@ -35,7 +36,7 @@
 
 
 NEVER_S = 1e9
-PLAIN_CONNECTION = frozenset((b'close', b'keep-alive'))
+KEPT_CONNECTION_LINES = 64
 
 
 class CallMeta(NamedTuple):
@@ -230,14 +231,23 @@
     >>> clean_headers([(b'te', b'x'), (b'a', b'1')], frozenset())
     [(b'a', b'1')]
     """
-    listed = take_header(headers, b'connection')
-    if listed is None or listed.lower() in PLAIN_CONNECTION:
-        unwanted = HOP_BY_HOP | dropped
-    else:
-        named = (token.strip().lower() for token in listed.split(b','))
-        unwanted = HOP_BY_HOP | dropped | frozenset(named)
+    unwanted = find_unwanted(take_header(headers, b'connection'), dropped)
     return [
         header
         for header in headers
         if header[0] not in unwanted and not header[0].startswith(PREFIX)
     ]
+
+
+@functools.lru_cache(maxsize=KEPT_CONNECTION_LINES)
+def find_unwanted(
+    connection: bytes | None,
+    dropped: frozenset[bytes],
+) -> frozenset[bytes]:
+    """Return the names of headers that concern only one connection.
+
+    >>> b'x-hop' in find_unwanted(b'close, X-Hop', frozenset())
+    True
+    """
+    named = [token.strip().lower() for token in (connection or b'').split(b',')]
+    return HOP_BY_HOP | dropped | frozenset(named)
--- a/limpetshore/metrics.py
+++ b/limpetshore/metrics.py
@@ -9,18 +9,17 @@
     CollectorRegistry,
     Counter,
     Gauge,
-    Histogram,
     generate_latest,
 )
 from prometheus_client.process_collector import ProcessCollector
 
+from limpetshore.answertimes import AnswerTimes
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
 logger = Logger(__name__)
 
 ROLES = ('ingress', 'guard')
 REFUSING_VERDICTS = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN)
-LATENCY_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1, 5)
 
 
 class Metrics:
@@ -49,19 +48,8 @@
             ('cause',),
             registry=registry,
         )
-        self.answers = Counter(
-            'limpetshore_answers',
-            'Whole answers, by role',
-            ('role',),
-            registry=registry,
-        )
-        self.latency = Histogram(
-            'limpetshore_call_seconds',
-            'Time from request to whole answer, by role',
-            ('role',),
-            buckets=LATENCY_BUCKETS_S,
-            registry=registry,
-        )
+        self.answer_times = AnswerTimes(ROLES)
+        registry.register(self.answer_times)
         self.bad_input = Counter(
             'limpetshore_bad_input',
             'Records and messages ignored, by source',
@@ -121,12 +109,6 @@
             labels: self.refusals.labels(*labels)
             for labels in itertools.product(ROLES, Reason, REFUSING_VERDICTS)
         }
-        self.answer_children = {
-            role: self.answers.labels(role) for role in ROLES
-        }
-        self.latency_children = {
-            role: self.latency.labels(role) for role in ROLES
-        }
         self.retry_children = {
             reason: self.retries.labels(reason.value) for reason in Reason
         }
@@ -152,8 +134,7 @@
 
     def observe_answer(self, role: str, latency: float) -> None:
         """Count a whole answer that took `latency` seconds."""
-        self.answer_children[role].inc()
-        self.latency_children[role].observe(latency)
+        self.answer_times.roles[role].observe(latency)
 
     def expose(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
--- a/limpetshore/peers.py
+++ b/limpetshore/peers.py
@@ -1,11 +1,9 @@
 """Carry calls between nodes: the sending and the serving half."""
 
 import contextlib
-from collections.abc import Awaitable, Callable
 
 import anyio
 import msgspec
-from anyio.abc import TaskGroup
 
 from limpetshore import clock
 from limpetshore.bodies import (
@@ -27,6 +25,7 @@
     Answer,
     AnswerRefusedError,
     Exchange,
+    Inbound,
     OutboundRequest,
     read_chunk_within,
     send_request,
@@ -61,6 +60,8 @@
 ANSWER_GRACE_S = 0.25
 MS_IN_S = 1000
 NO_CONTENT = 204
+NO_NAMES: frozenset[bytes] = frozenset()
+DROPPED_FROM_PEERS = frozenset((b'content-length',))
 
 
 class PeerApp(CallApp):
@@ -112,22 +113,22 @@
             return
         except CallerGoneError:
             return
-        outbound = OutboundRequest(
-            method=request.method,
-            target=request.target,
-            headers=clean_headers(request.headers, DROPPED_FROM_PEERS),
-            first=first,
-            rest=None if body.is_complete else body.read_rest(),
-            length=body.length,
-            meta=meta,
-            deadline=deadline,
-            tasks=None,
-            origin=request,
-        )
-        await run_with_tasks(
-            body,
-            lambda tasks: self.carry(outbound._replace(tasks=tasks), sender),
+        inbound = Inbound(
+            request.method,
+            request.target,
+            clean_headers(request.headers, DROPPED_FROM_PEERS),
+            first,
+            None if body.is_complete else body.read_rest(),
+            body.length,
         )
+        outbound = OutboundRequest(inbound, meta, deadline, request)
+        if inbound.rest is None:
+            await self.carry(outbound, sender)
+            return
+        async with anyio.create_task_group() as tasks:
+            whole = inbound._replace(tasks=tasks)
+            await self.carry(outbound._replace(inbound=whole), sender)
+            tasks.cancel_scope.cancel()
 
     async def carry(
         self,
@@ -182,9 +183,6 @@
         sender.send_whole(NO_CONTENT, [(ANSWER_HEADER, reply)], b'')
 
 
-DROPPED_FROM_PEERS = frozenset((b'content-length',))
-
-
 def read_call_meta(headers: Headers) -> CallMeta:
     """Return what travels with a call, or refuse a damaged one."""
     encoded = take_header(headers, CALL_HEADER)
@@ -194,19 +192,6 @@
         raise refuse(Reason.BAD_REQUEST, f'call header: {error}') from error
 
 
-async def run_with_tasks(
-    body: RequestBody,
-    work: Callable[[TaskGroup | None], Awaitable[None]],
-) -> None:
-    """Do some work; only a body that still comes needs a task group."""
-    if body.is_complete:
-        await work(None)
-        return
-    async with anyio.create_task_group() as tasks:
-        await work(tasks)
-        tasks.cancel_scope.cancel()
-
-
 async def pass_on(
     exchange: Exchange,
     sender: AnswerSender,
@@ -214,8 +199,13 @@
     extra: Headers,
 ) -> None:
     """Pass an answer on piece by piece."""
-    headers = clean_headers(answer.head.headers, frozenset())
-    sender.start(answer.head.status, [*headers, *extra])
+    headers = clean_headers(answer.head.headers, NO_NAMES)
+    headers += extra
+    body = exchange.take_whole()
+    if body is not None:
+        sender.send_whole(answer.head.status, headers, body)
+        return
+    sender.start(answer.head.status, headers)
     if not exchange.has_chunk:
         sender.request.flush_head()
     while chunk := await exchange.read_chunk():
@@ -251,11 +241,7 @@
         meta = (CALL_HEADER, json_encoder.encode(request.meta))
         self.sent_at = clock.now()
         try:
-            await send_request(
-                self.connection,
-                request,
-                [*request.headers, meta],
-            )
+            await send_request(self.connection, request.inbound, [meta])
             head = await self.wait_head(request)
         except (BrokenError, TruncatedError) as error:
             verdict = await self.ask_verdict(request)
@@ -348,7 +334,7 @@
 
     async def ask_verdict(self, request: OutboundRequest) -> Verdict:
         """Find out whether a call whose connection broke can have run."""
-        if request.rest is not None:
+        if request.inbound.rest is not None:
             return Verdict.MAY_HAVE_RUN
         reply = await self.probe(request)
         if reply and not reply.has_arrived:
@@ -382,6 +368,10 @@
         """Tell whether `read_chunk` returns without waiting."""
         return self.connection.has_chunk
 
+    def take_whole(self) -> bytes | None:
+        """Return the whole body if all of it is there, else None."""
+        return self.connection.take_whole()
+
     async def read_chunk(self) -> bytes:
         """Return the next piece of the answer, empty at its end."""
         return await read_chunk_within(self.connection, self.stall_s)
--- a/limpetshore/policies.py
+++ b/limpetshore/policies.py
@@ -112,6 +112,13 @@
     customer: str
 
 
+class ImportanceCap(NamedTuple):
+    """Bound the importance of a customer's requests, or fix it."""
+
+    most: Importance
+    is_fixed: bool
+
+
 class RouteMatch(NamedTuple):
     """Hold a route with its name and rank at hand."""
 
@@ -181,10 +188,23 @@
                 RouteMatch(name, route, importance, subtree),
             )
         self.find_route = functools.lru_cache(maxsize=4096)(self.match_route)
+        self.known_keys: dict[str, str] = {}
+        self.caps = {
+            name: find_cap(customer)
+            for name, customer in policy.customers.items()
+        }
 
     def find_customer(self, key: str) -> str | None:
-        """Return whose key this is, comparing in constant time."""
-        key_hash = hash_key(key)
+        """Return whose key this is; only keys of customers are remembered."""
+        found = self.known_keys.get(key)
+        if found is None:
+            found = self.compare_hashes(hash_key(key))
+            if found is not None:
+                self.known_keys[key] = found
+        return found
+
+    def compare_hashes(self, key_hash: str) -> str | None:
+        """Return whose key has a hash, comparing in constant time."""
         found = None
         for owner in self.owners.get(key_hash[:INDEX_LENGTH], ()):
             if hmac.compare_digest(owner.key_hash, key_hash):
@@ -225,12 +245,17 @@
 
     def cap_importance(self, customer: str, wanted: Importance) -> Importance:
         """Return the importance a customer has or may claim."""
-        record = self.policy.customers.get(customer)
-        if record is None:
+        cap = self.caps.get(customer)
+        if cap is None:
             return wanted
-        if record.importance:
-            return parse_importance(record.importance)
-        return min(wanted, parse_importance(record.most_important))
+        return cap.most if cap.is_fixed else min(wanted, cap.most)
+
+
+def find_cap(customer: Customer) -> ImportanceCap:
+    """Return how important requests of a customer may be."""
+    if customer.importance:
+        return ImportanceCap(parse_importance(customer.importance), True)
+    return ImportanceCap(parse_importance(customer.most_important), False)
 
 
 def list_subtrees(path: str) -> list[str]:
@@ -239,8 +264,12 @@
     >>> list_subtrees('/a/b')
     ['/a/b/', '/a/', '/']
     """
-    ends = [at + 1 for at, char in enumerate(path) if char == '/']
-    return [f'{path}/', *(path[:end] for end in reversed(ends))]
+    subtrees = [f'{path}/']
+    end = path.rfind('/')
+    while end >= 0:
+        subtrees.append(path[: end + 1])
+        end = path.rfind('/', 0, end)
+    return subtrees
 
 
 def encode_policy(policy: Policy) -> bytes:
--- a/limpetshore/serving.py
+++ b/limpetshore/serving.py
@@ -31,9 +31,9 @@
 BACKLOG = 2048
 MAX_BUFFERED_BYTES = 65536
 MAX_PIPELINED = 8
-NO_CONTENT = 204
-NOT_MODIFIED = 304
+BODYLESS_STATUSES = frozenset((204, 304))
 CHUNKED = (b'transfer-encoding', b'chunked')
+EXPECT_CONTINUE = (b'expect', b'100-continue')
 CLOSE_LINE = b'connection: close\r\n'
 REFUSE_SYNTAX = (
     b'HTTP/1.1 %d %b\r\n'
@@ -50,30 +50,32 @@
 class ServerRequest:
     """Hold one request, the part of its body that has come, and its answer."""
 
+    # Most requests never change these, so that they live on the class.
+    method = b''
+    target = b''
+    path = ''
+    buffered = 0
+    is_body_complete = False
+    is_body_unwanted = False
+    is_kept_alive = True
+    expects_continue = False
+    is_detached = False
+    has_started = False
+    is_answered = False
+    is_chunked_answer = False
+    unsent_head = b''
+    is_first = False
+    is_done = False
+    task: asyncio.Task[None] | None = None
+    turn: asyncio.Future[None] | None = None
+    waiter: asyncio.Future[None] | None = None
+
     def __init__(self, connection: 'ServerConnection') -> None:
         """Start before the first byte."""
         self.connection = connection
-        self.method = b''
-        self.target = b''
-        self.path = ''
         self.headers: Headers = []
         self.body: deque[bytes] = deque()
-        self.buffered = 0
-        self.is_body_complete = False
-        self.is_body_unwanted = False
-        self.is_kept_alive = True
-        self.expects_continue = False
-        self.is_detached = False
-        self.has_started = False
-        self.is_answered = False
-        self.is_chunked_answer = False
-        self.unsent_head = b''
         self.held_back: list[bytes] = []
-        self.is_first = False
-        self.is_done = False
-        self.task: asyncio.Task[None] | None = None
-        self.turn: asyncio.Future[None] | None = None
-        self.waiter: asyncio.Future[None] | None = None
 
     @property
     def is_gone(self) -> bool:
@@ -139,11 +141,13 @@
     def start_answer(self, status: int, headers: Headers) -> None:
         """Prepare the head, which goes out with the first piece of body."""
         self.has_started = True
-        is_sized = any(name == b'content-length' for name, _ in headers)
-        is_bodyless = status in {NO_CONTENT, NOT_MODIFIED}
-        self.is_chunked_answer = not is_sized and not is_bodyless
+        is_bodyless = status in BODYLESS_STATUSES
         lines = [STATUS_LINES.get(status) or b'HTTP/1.1 %d \r\n' % status]
-        lines += [b'%b: %b\r\n' % header for header in headers]
+        is_sized = False
+        for name, value in headers:
+            lines.append(b'%b: %b\r\n' % (name, value))
+            is_sized = is_sized or name == b'content-length'
+        self.is_chunked_answer = not is_sized and not is_bodyless
         if self.is_chunked_answer:
             lines.append(b'%b: %b\r\n' % CHUNKED)
         if not self.connection.may_stay_open(self):
@@ -159,9 +163,11 @@
         elif self.is_chunked_answer:
             piece = frame_chunk(piece, is_last=is_last)
         head = self.unsent_head
-        self.unsent_head = b''
-        if head or piece:
-            self.write(head + piece)
+        if head:
+            self.unsent_head = b''
+            piece = head + piece
+        if piece:
+            self.write(piece)
         self.is_answered = is_last
 
     def flush_head(self) -> None:
@@ -271,10 +277,8 @@
         request.method = self.parser.get_method()
         request.is_kept_alive = self.parser.should_keep_alive()
         request.path = request.target.partition(b'?')[0].decode('latin-1')
-        request.expects_continue = (
-            b'expect',
-            b'100-continue',
-        ) in request.headers
+        if EXPECT_CONTINUE in request.headers:
+            request.expects_continue = True
         request.is_first = not self.open
         self.open.append(request)
         if len(self.open) >= MAX_PIPELINED:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -24,3 +24,15 @@
         'verdict="not-run"} 1.0' % reason.value
     )
     assert line.encode() in metrics.expose()
+
+
+def test_answers_are_counted_with_their_times():
+    """Show each answer in the first bucket that holds its time."""
+    metrics = Metrics()
+    for latency in (0.0005, 0.02, 0.025, 9):
+        metrics.observe_answer('guard', latency)
+    shown = metrics.expose().decode()
+    assert 'limpetshore_answers_total{role="guard"} 4.0' in shown
+    for bound, count in (('0.001', 1), ('0.01', 1), ('0.025', 3), ('+Inf', 4)):
+        labels = f'le="{bound}",role="guard"'
+        assert f'call_seconds_bucket{{{labels}}} {count}.0' in shown
