--- /dev/null
+++ b/bench/handling.py
@@ -0,0 +1,236 @@
+"""Measure the processor time of one handling, without sockets.
+
+A node is fed the bytes of calls on transports in memory, whose other ends
+answer at once, so that only the code of the node is timed.
+"""
+
+import argparse
+import asyncio
+import cProfile
+import json
+import pstats
+import time
+
+import anyio
+
+from limpetshore import clock, httpclient
+from limpetshore.backends import Announcement
+from limpetshore.httpclient import HttpConnection
+from limpetshore.members import Status
+from limpetshore.messages import AnswerMeta, CallMeta, json_encoder
+from limpetshore.node import Node
+from limpetshore.platform.surface import PlatformSurface
+from limpetshore.policies import Customer, PolicyIndex, Route, hash_key
+from limpetshore.serving import ServerConnection
+from limpetshore.settings import check_settings
+from tests.builders import KEY, build_node_state, build_policy
+
+REQUEST_ID = b'9c41d07be2a35f68'
+BODY = b'x' * 400
+CALLS = 3000
+TURNS = 5
+SETTINGS = {
+    'node': {'name': 'near-1', 'zone': 'zone-a'},
+    'listen': {
+        'callers': '10.0.0.9:1',
+        'peers': '10.0.0.9:2',
+        'control': '10.0.0.9:3',
+        'admin': '10.0.0.9:4',
+    },
+    'backend': {
+        'service': 'stock',
+        'address': '10.0.0.9:5',
+        'announce_lapse_s': 600,
+    },
+    'store': {'address': '10.0.0.8:1'},
+    'admission': {'limit': 'announced'},
+    'fleet': {'budgets': 'conserved', 'keys_need_store': True},
+    'platform': {'heartbeats': '10.0.0.9:6', 'readiness': '10.0.0.9:7'},
+}
+ANSWER_META = json_encoder.encode(
+    AnswerMeta('', '', 0, 0, 0, 0, 0.41, 0.0215, 1, 0.2),
+)
+SERVER_HEADERS = (
+    b'HTTP/1.1 200 OK\r\ncontent-length: 400\r\n'
+    b'content-type: application/octet-stream\r\n'
+    b'Limpetshore-Request-Id: %b\r\n'
+    b'Limpetshore-Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n'
+)
+
+
+class MemoryTransport(asyncio.Transport):
+    """Answer whatever is written with fixed bytes, or only count it."""
+
+    def __init__(self, protocol, answer=b''):
+        """Write to a protocol, if there is an answer."""
+        super().__init__()
+        self.protocol = protocol
+        self.answer = answer
+        self.written = b''
+        self.loop = asyncio.get_running_loop()
+        self.done = asyncio.Event()
+
+    def get_extra_info(self, name, default=None):
+        """Return an address or a socket that takes every option."""
+        return ('10.0.0.9', 1) if name == 'peername' else self
+
+    def setsockopt(self, *options):
+        """Take an option of a socket."""
+
+    def is_closing(self):
+        """Stay open."""
+        return False
+
+    def write(self, written):
+        """Answer, or note that an answer came."""
+        self.written = written
+        if self.answer:
+            self.loop.call_soon(self.protocol.data_received, self.answer)
+        else:
+            self.done.set()
+
+    def abort(self):
+        """Close."""
+
+    close = abort
+
+
+def build_node(tasks):
+    """Return a node that knows a server of another service and its own."""
+    settings = check_settings(SETTINGS)
+    node = Node(settings, tasks, PlatformSurface(settings))
+    for at in range(4):
+        node.table.merge(
+            build_node_state(
+                f'far-{at}',
+                service='deep',
+                status=int(Status.READY),
+                peers=f'10.0.1.{at}:1',
+                slots=24,
+            ),
+        )
+    policy = build_policy(
+        customers={
+            'harbour': Customer(
+                rate=1e6,
+                burst=1_000_000,
+                key_hashes=[hash_key(KEY)],
+            ),
+        },
+        routes={
+            'near': Route(path='/near', service='deep', is_repeatable=True),
+            'nested': Route(
+                path='/nested',
+                service='deep',
+                is_repeatable=True,
+                is_open=True,
+            ),
+        },
+    )
+    node.adopt_policy(PolicyIndex(policy, 1))
+    node.standing.confirm_store()
+    node.budgets.follow_members()
+    node.budgets.put('harbour', 200_000)
+    node.guard.backend.take(Announcement('ready', 24, instance='i-7f3a91c2'))
+    node.guard.follow_backend(is_new=True)
+    return node
+
+
+def build_requests():
+    """Return the bytes of a client's call, a nested one and a peer's."""
+    common = (
+        b'Host: hulo84.example\r\nLimpetshore-Request-Id: %b\r\n'
+        b'Limpetshore-Deadline-Ms: 6000\r\n' % REQUEST_ID
+    )
+    key = b'Authorization: Bearer %b\r\n' % KEY.encode()
+    meta = CallMeta(
+        '0123456789abcdef01',
+        REQUEST_ID.decode(),
+        'harbour',
+        'near',
+        2,
+        6000,
+        0,
+        0,
+        True,
+        False,
+        'stock',
+        'yard',
+    )
+    call = b'x-limpetshore-call: %b\r\n' % json_encoder.encode(meta)
+    return {
+        'entry': b'GET /near/2f HTTP/1.1\r\n%b%b\r\n' % (common, key),
+        'nested': b'GET /nested/2f HTTP/1.1\r\n%b\r\n' % common,
+        'guard': b'GET /near/2f HTTP/1.1\r\n%b%b\r\n' % (common, call),
+    }
+
+
+async def handle(connection, transport, request, count):
+    """Have one request after the other handled."""
+    for _ in range(count):
+        transport.done.clear()
+        connection.data_received(request)
+        await transport.done.wait()
+
+
+async def measure(options, report):
+    """Fill in the microseconds of processor time of each handling."""
+    head = SERVER_HEADERS % REQUEST_ID
+    peer_answer = b'%bx-limpetshore-answer: %b\r\n\r\n%b' % (
+        head,
+        ANSWER_META,
+        BODY,
+    )
+    server_answer = b'%b\r\n%b' % (head, BODY)
+
+    async def connect(address, timeout_s=0):
+        connection = HttpConnection(address)
+        is_server = str(address) == SETTINGS['backend']['address']
+        answer = server_answer if is_server else peer_answer
+        connection.connection_made(MemoryTransport(connection, answer))
+        return connection
+
+    httpclient.connect = connect
+    clock.use_boot_time()
+    async with anyio.create_task_group() as tasks:
+        node = build_node(tasks)
+        servers = {
+            'entry': node.callers_server,
+            'nested': node.callers_server,
+            'guard': node.peers_server,
+        }
+        for kind, request in build_requests().items():
+            connection = ServerConnection(servers[kind])
+            transport = MemoryTransport(connection)
+            connection.connection_made(transport)
+            await handle(connection, transport, request, CALLS // 4)
+            if b' 200 OK' not in transport.written:
+                raise SystemExit(f'{kind}: {transport.written}')
+            if options.profile == kind:
+                profile = cProfile.Profile()
+                profile.enable()
+                await handle(connection, transport, request, CALLS)
+                profile.disable()
+                pstats.Stats(profile).sort_stats('tottime').print_stats(60)
+            times = []
+            for _ in range(TURNS):
+                started = time.process_time()
+                await handle(connection, transport, request, CALLS)
+                times.append((time.process_time() - started) / CALLS)
+            report[kind] = round(min(times) * 1e6, 1)
+        tasks.cancel_scope.cancel()
+
+
+def main():
+    """Print the microseconds of a handling by its kind."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--profile', default='')
+    options = parser.parse_args()
+    report = {'bench': 'handling', 'unit': 'us of processor time'}
+    anyio.run(measure, options, report, backend_options={'use_uvloop': True})
+    print(json.dumps(report))
+
+
+if __name__ == '__main__':
+    main()
--- a/limpetshore/admission.py
+++ b/limpetshore/admission.py
@@ -223,7 +223,7 @@
 
     def admit_waiting(self) -> None:
         """Start waiting requests while there are free slots."""
-        while self.in_flight < self.limit.allowed:
+        while self.queue.size and self.in_flight < self.limit.allowed:
             waiter = self.queue.pop_next(self.weighted_running())
             if waiter is None:
                 return
--- a/limpetshore/attempts.py
+++ b/limpetshore/attempts.py
@@ -140,13 +140,13 @@
         return (
             self.is_repeatable
             and self.call.origin.budget.left > 0
-            and self.state.tokens(self.call.service).tokens >= 1
+            and self.state.retry_tokens[self.call.service].tokens >= 1
         )
 
     def pay_retry(self, reason: Reason) -> bool:
         """Take a retry from both budgets; return False if one is empty."""
         metrics = self.state.metrics
-        if not self.state.tokens(self.call.service).spend():
+        if not self.state.retry_tokens[self.call.service].spend():
             metrics.retries_withheld.labels('service_tokens').inc()
             return False
         if not self.call.origin.budget.spend():
@@ -186,7 +186,7 @@
         self.tried.append(server.name)
         view = self.state.balancer.view(server.name)
         lent = self.call.origin.budget.lend()
-        estimate = self.state.latency(self.call.match.name)
+        estimate = self.state.latencies[self.call.match.name]
         self.sent_at = clock.now()
         sent = self.build_request(inbound, lent, estimate.patience())
         exchange = self.state.open_exchange(server)
@@ -282,10 +282,10 @@
             answer.meta,
             has_failed=is_own_failure,
         )
-        state.tokens(self.call.service).earn()
+        state.retry_tokens[self.call.service].earn()
         self.learn_deep(0, answer.meta.deep_level)
         latency = clock.now() - self.call.started
-        state.metrics.observe_answer('ingress', latency)
+        state.answer_times.observe(latency)
 
     def learn_deep(
         self,
@@ -293,7 +293,7 @@
         deep_level: float,
     ) -> None:
         """Pass admission levels on to the route and to the call above."""
-        self.state.deep_level(self.call.match.name).report(
+        self.state.deep_levels[self.call.match.name].report(
             deep_level,
             DEEP_LEVEL_WEIGHT,
         )
--- a/limpetshore/balancing.py
+++ b/limpetshore/balancing.py
@@ -51,7 +51,8 @@
     def learn_answer(self, meta: AnswerMeta, *, has_failed: bool) -> None:
         """Learn from a whole answer of the backend server."""
         self.succeed(meta)
-        self.count_failure(has_failed=has_failed)
+        if has_failed or self.failed_share:
+            self.count_failure(has_failed=has_failed)
 
     def count_failure(self, *, has_failed: bool) -> None:
         """Count one answer into the share of failed ones."""
@@ -88,10 +89,15 @@
 
 
 class Candidate(NamedTuple):
-    """Hold a server that may be drawn, and what was seen of it."""
+    """Hold a server that may be drawn, and what was seen of it.
+
+    `distance` is what another zone adds to the pressure of a server.
+    """
 
     state: NodeState
     view: ServerView
+    slots: int
+    distance: float
 
 
 class Balancer:
@@ -114,6 +120,8 @@
         self.chance = chance
         self.views: dict[str, ServerView] = {}
         self.drained: frozenset[str] = frozenset()
+        self.candidates: dict[str, list[Candidate]] = {}
+        self.table_version = -1
 
     def view(self, name: str) -> ServerView:
         """Return what is known of a server."""
@@ -123,18 +131,41 @@
             self.views[name] = found
         return found
 
-    def list_usable(self, service: str) -> list[NodeState]:
+    def follow_drained(self, drained: frozenset[str]) -> None:
+        """Give no work to the servers that operators drain."""
+        self.drained = drained
+        self.candidates.clear()
+
+    def list_candidates(self, service: str) -> list[Candidate]:
         """Return the servers of a service that take new work."""
-        found = self.table.find_service(service)
-        if not self.drained:
-            return found
-        return [state for state in found if state.name not in self.drained]
+        if self.table_version != self.table.version:
+            self.table_version = self.table.version
+            self.candidates.clear()
+        found = self.candidates.get(service)
+        if found is None:
+            found = [
+                self.build_candidate(state)
+                for state in self.table.find_service(service)
+                if state.name not in self.drained
+            ]
+            self.candidates[service] = found
+        return found
+
+    def build_candidate(self, state: NodeState) -> Candidate:
+        """Return a server with what changes with the table only."""
+        distance = 0 if state.zone == self.zone else OTHER_ZONE_LOAD
+        return Candidate(
+            state,
+            self.view(state.name),
+            max(1, state.slots),
+            distance,
+        )
 
     def has_untried(self, service: str, tried: Collection[str]) -> bool:
         """Tell whether some server of a service was not tried yet."""
         return any(
-            state.name not in tried and not self.view(state.name).is_aside
-            for state in self.list_usable(service)
+            one.state.name not in tried and not one.view.is_aside
+            for one in self.list_candidates(service)
         )
 
     def choose(
@@ -143,57 +174,58 @@
         tried: Collection[str],
     ) -> NodeState | None:
         """Return a server for the next attempt, or None if there is none."""
-        usable = self.list_usable(service)
+        usable = self.list_candidates(service)
         if tried:
-            fresh = [state for state in usable if state.name not in tried]
+            fresh = [one for one in usable if one.state.name not in tried]
             usable = fresh or usable
-        candidates = self.leave_out_aside(
-            [Candidate(state, self.view(state.name)) for state in usable],
-        )
-        if not candidates:
-            return None
-        return self.draw(candidates).state
-
-    def leave_out_aside(self, candidates: list[Candidate]) -> list[Candidate]:
-        """Drop servers put aside, but never more than a share of them."""
-        now = clock.now()
-        good = [one for one in candidates if now >= one.view.aside_until]
-        if len(good) < len(candidates) * ASIDE_SHARE:
-            return candidates
-        return good
-
-    def draw(self, candidates: list[Candidate]) -> Candidate:
-        """Return one at random, the likelier the sooner it would answer."""
-        usual = find_usual_time(candidates)
+        usable = leave_out_aside(usable)
+        return self.draw(usable) if usable else None
+
+    def draw(self, candidates: list[Candidate]) -> NodeState:
+        """Return one at random, the likelier the sooner it would answer.
+
+        A server that has told nothing yet is taken for an average one.
+        """
+        usual = 0
         weights = []
         total: float = 0
         for candidate in candidates:
-            service_time = candidate.view.service_time or usual
-            total += (service_time * self.pressure(candidate)) ** -PREFERENCE
+            view = candidate.view
+            cost = IDLE_PRESSURE + view.load + candidate.distance
+            cost += view.in_flight / candidate.slots
+            cost *= 1 + view.failed_share * FAILURE_PENALTY
+            if not view.service_time:
+                usual = usual or find_usual_time(candidates)
+            cost *= view.service_time or usual
+            total += cost**-PREFERENCE
             weights.append(total)
         drawn = self.chance.random() * total
-        return candidates[bisect.bisect(weights, drawn, 0, len(weights) - 1)]
-
-    def pressure(self, candidate: Candidate) -> float:
-        """Return how much longer a request takes where others are before it."""
-        state, view = candidate
-        pressure = IDLE_PRESSURE + view.load
-        pressure += view.in_flight / max(1, state.slots)
-        if state.zone != self.zone:
-            pressure += OTHER_ZONE_LOAD
-        return pressure * (1 + view.failed_share * FAILURE_PENALTY)
+        at = bisect.bisect(weights, drawn, 0, len(weights) - 1)
+        return candidates[at].state
 
     def service_level(self, service: str) -> float:
         """Return the lowest admission level among the servers of a service."""
         lowest: float = 0
-        for state in self.list_usable(service):
-            level = self.view(state.name).level.read()
-            if not level:
+        for candidate in self.list_candidates(service):
+            level = candidate.view.level
+            if not level.level:
                 return 0
-            lowest = min(lowest or level, level)
+            lowest = min(lowest or level.read(), level.read())
         return lowest
 
 
+def leave_out_aside(candidates: list[Candidate]) -> list[Candidate]:
+    """Drop servers put aside, but never more than a share of them."""
+    now = clock.now()
+    good = []
+    for candidate in candidates:
+        if now >= candidate.view.aside_until:
+            good.append(candidate)
+    if len(good) < len(candidates) * ASIDE_SHARE:
+        return candidates
+    return good
+
+
 def find_usual_time(candidates: list[Candidate]) -> float:
     """Return the mean service time of those that have told theirs."""
     known = [
--- a/limpetshore/bodies.py
+++ b/limpetshore/bodies.py
@@ -9,6 +9,7 @@
 from limpetshore.httpclient import Headers
 from limpetshore.messages import take_header
 from limpetshore.serving import ServerRequest
+from limpetshore.settings import CallSection
 from limpetshore.verdicts import Reason
 
 
@@ -19,21 +20,15 @@
 class RequestBody:
     """Read the body of one request, in bounded memory."""
 
-    def __init__(
-        self,
-        request: ServerRequest,
-        *,
-        max_bytes: int,
-        stall_s: float,
-    ) -> None:
+    def __init__(self, request: ServerRequest, limits: CallSection) -> None:
         """Look at the headers; refuse a body that is announced too large."""
         self.request = request
-        self.max_bytes = max_bytes
-        self.stall_s = stall_s
+        self.max_bytes = limits.max_body_bytes
+        self.stall_s = limits.stall_s
         self.length = take_header(request.headers, b'content-length')
         self.bytes_read = 0
-        if self.length is not None and int(self.length) > max_bytes:
-            raise refuse(Reason.BODY_TOO_LARGE, f'over {max_bytes} bytes')
+        if self.length is not None and int(self.length) > self.max_bytes:
+            raise refuse(Reason.BODY_TOO_LARGE, f'over {self.max_bytes} bytes')
 
     @property
     def is_complete(self) -> bool:
--- a/limpetshore/budgets.py
+++ b/limpetshore/budgets.py
@@ -30,6 +30,8 @@
     def lend(self) -> int:
         """Set aside half of what is left for a deeper call."""
         amount = 0 if self.is_closed else self.left // 2
+        if not amount:
+            return 0
         self.left -= amount
         self.lent += amount
         self.check()
@@ -37,6 +39,8 @@
 
     def settle(self, amount: int, spent: int) -> None:
         """Take back a loan of which `spent` was used up."""
+        if not amount:
+            return
         spent = min(max(spent, 0), amount)
         self.lent -= amount
         self.left += amount - spent
--- a/limpetshore/entry.py
+++ b/limpetshore/entry.py
@@ -1,6 +1,7 @@
 """Hold what all requests that enter at a node share."""
 
 import random
+from collections import defaultdict
 from collections.abc import Callable
 
 from limpetshore.balancing import Balancer
@@ -41,6 +42,7 @@
         self.learn = learn
         self.settings = settings
         self.metrics = metrics
+        self.answer_times = metrics.answer_times.roles['ingress']
         self.guard = guard
         self.balancer = balancer
         self.callers = callers
@@ -48,11 +50,17 @@
         self.chance = chance
         self.index: PolicyIndex | None = None
         self.pools: dict[str, HttpPool] = {}
-        self.retry_tokens: dict[str, RetryTokens] = {}
-        self.deep_levels: dict[str, ReportedLevel] = {}
+        self.retry_tokens: dict[str, RetryTokens] = defaultdict(
+            self.build_tokens,
+        )
+        self.deep_levels: dict[str, ReportedLevel] = defaultdict(
+            self.build_level,
+        )
         self.splitter = Splitter()
         self.shedding = EdgeShedding(chance)
-        self.latencies: dict[str, LatencyEstimate] = {}
+        self.latencies: dict[str, LatencyEstimate] = defaultdict(
+            LatencyEstimate,
+        )
         self.most_retry_tokens = settings.admission.retry_tokens
         self.share_retries(1)
 
@@ -68,22 +76,10 @@
             self.pools[address] = found
         return found
 
-    def tokens(self, service: str) -> RetryTokens:
-        """Return the retry tokens of a service."""
-        found = self.retry_tokens.get(service)
-        if found is None:
-            earning = self.settings.admission.retry_earning
-            found = RetryTokens(self.most_retry_tokens, earning)
-            self.retry_tokens[service] = found
-        return found
-
-    def latency(self, route: str) -> LatencyEstimate:
-        """Return the estimate for the answers on a route."""
-        found = self.latencies.get(route)
-        if found is None:
-            found = LatencyEstimate()
-            self.latencies[route] = found
-        return found
+    def build_tokens(self) -> RetryTokens:
+        """Return the retry tokens of a service that was not called yet."""
+        earning = self.settings.admission.retry_earning
+        return RetryTokens(self.most_retry_tokens, earning)
 
     def share_retries(self, nodes: int) -> None:
         """Divide the retries that the fleet may save up among its nodes."""
@@ -94,13 +90,9 @@
         for tokens in self.retry_tokens.values():
             tokens.resize(self.most_retry_tokens)
 
-    def deep_level(self, route: str) -> ReportedLevel:
-        """Return the level met below a route."""
-        found = self.deep_levels.get(route)
-        if found is None:
-            found = ReportedLevel(self.settings.admission.level_half_life_s)
-            self.deep_levels[route] = found
-        return found
+    def build_level(self) -> ReportedLevel:
+        """Return a level met below a route that nothing is known of."""
+        return ReportedLevel(self.settings.admission.level_half_life_s)
 
     def open_exchange(self, server: NodeState) -> Exchange:
         """Return the way to a server: the local guard or another node."""
--- a/limpetshore/exchanges.py
+++ b/limpetshore/exchanges.py
@@ -7,7 +7,7 @@
 from anyio.abc import TaskGroup
 
 from limpetshore import clock
-from limpetshore.bodies import CallerGoneError
+from limpetshore.bodies import CallerGoneError, RequestBody
 from limpetshore.errors import (
     LimpetshoreError,
     RefusedError,
@@ -15,8 +15,14 @@
     refuse,
 )
 from limpetshore.httpclient import Headers, HttpConnection, ResponseHead
-from limpetshore.messages import AnswerMeta, CallMeta
+from limpetshore.messages import (
+    AnswerMeta,
+    CallMeta,
+    clean_headers,
+    take_header,
+)
 from limpetshore.serving import ServerRequest
+from limpetshore.settings import CallSection
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
 
@@ -41,6 +47,23 @@
     tasks: TaskGroup | None = None
 
 
+async def read_inbound(
+    request: ServerRequest,
+    dropped: frozenset[bytes],
+    limits: CallSection,
+) -> Inbound:
+    """Read the head of a request and as much of its body as is kept."""
+    headers = clean_headers(request.headers, dropped)
+    method, target = request.method, request.target
+    if request.is_body_complete and not request.body:
+        length = take_header(request.headers, b'content-length')
+        return Inbound(method, target, headers, b'', None, length)
+    body = RequestBody(request, limits)
+    first = await body.read_first(limits.replay_bytes)
+    rest = None if body.is_complete else body.read_rest()
+    return Inbound(method, target, headers, first, rest, body.length)
+
+
 class OutboundRequest(NamedTuple):
     """Hold one attempt at a request; `deadline` is on the local clock.
 
--- a/limpetshore/guard.py
+++ b/limpetshore/guard.py
@@ -43,7 +43,6 @@
     ProbeRequest,
 )
 from limpetshore.metrics import Metrics
-from limpetshore.policies import Importance
 from limpetshore.repeats import RequestLog, parse_request_id
 from limpetshore.settings import NodeSettings, parse_address
 from limpetshore.shedding import TurnedAway
@@ -72,6 +71,7 @@
         self.dialect = dialect
         self.settings = settings
         self.metrics = metrics
+        self.answer_times = metrics.answer_times.roles['guard']
         self.standing = standing
         call = settings.call
         admission = settings.admission
@@ -233,7 +233,7 @@
         meta = request.meta
         await self.guard.admission.acquire(
             meta.customer,
-            Importance(meta.importance),
+            meta.importance,
             request.deadline,
         )
         self.has_slot = True
@@ -313,7 +313,7 @@
         meta = request.meta
         context = CallContext(
             meta.customer,
-            Importance(meta.importance),
+            meta.importance,
             request.deadline,
             meta.request_id,
             meta.depth,
@@ -362,7 +362,7 @@
         latency = clock.now() - self.started
         if not self.has_failed:
             guard.admission.observe(latency)
-        guard.metrics.observe_answer('guard', latency)
+        guard.answer_times.observe(latency)
 
     async def close(self) -> None:
         """End the call, give back its slot and its connection."""
--- a/limpetshore/httpclient.py
+++ b/limpetshore/httpclient.py
@@ -15,6 +15,7 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+HEADER_LINE = b'%b: %b\r\n'
 MAX_BUFFERED_BYTES = 262144
 CONNECT_TIMEOUT_S = 1.0
 UNACKED_TIMEOUT_MS = 5000
@@ -62,9 +63,13 @@
         """Start before the first byte; HEAD has answers without body."""
         self.is_bodyless = is_bodyless
         self.parser = httptools.HttpResponseParser(self)
+        self.later: deque[Response] = deque()
+        self.restart()
+
+    def restart(self) -> None:
+        """Expect the answer to another request, the last one being whole."""
         self.first = Response()
         self.last = self.first
-        self.later: deque[Response] = deque()
         self.buffered = 0
 
     @property
@@ -194,9 +199,13 @@
         body: bytes = b'',
     ) -> None:
         """Send the request line, the headers and a short body."""
-        self.reader = ResponseReader(is_bodyless=method == b'HEAD')
+        is_bodyless = method == b'HEAD'
+        if is_bodyless or self.reader.is_bodyless:
+            self.reader = ResponseReader(is_bodyless=is_bodyless)
+        else:
+            self.reader.restart()
         self.is_reusable = False
-        lines = b''.join([b'%b: %b\r\n' % header for header in headers])
+        lines = b''.join(map(HEADER_LINE.__mod__, headers))
         await self.send(
             b'%b %b HTTP/1.1\r\n%b\r\n%b' % (method, target, lines, body),
         )
--- a/limpetshore/ingress.py
+++ b/limpetshore/ingress.py
@@ -8,17 +8,16 @@
 from limpetshore.bodies import (
     AnswerSender,
     CallerGoneError,
-    RequestBody,
     send_refusal,
 )
 from limpetshore.callers import ANONYMOUS
 from limpetshore.dialects import RequestName
 from limpetshore.entry import EntryState
 from limpetshore.errors import RefusedError, TruncatedError, refuse
-from limpetshore.exchanges import Inbound
+from limpetshore.exchanges import Inbound, read_inbound
 from limpetshore.httpclient import Headers
 from limpetshore.levels import should_refuse
-from limpetshore.messages import clean_headers, take_header
+from limpetshore.messages import take_header
 from limpetshore.policies import Importance
 from limpetshore.schedule import suggest_return
 from limpetshore.serving import CallApp, ServerRequest
@@ -34,11 +33,7 @@
 
     async def serve(self, request: ServerRequest) -> None:
         """Serve one request."""
-        try:
-            await Handling(self, request).run()
-        except Exception:
-            self.metrics.report_defect('ingress')
-            raise
+        await Handling(self, request).run()
 
 
 def read_host(headers: Headers) -> str:
@@ -75,6 +70,9 @@
         except (CallerGoneError, TruncatedError) as error:
             # An answer left without its end is cut with its connection.
             logger.debug('answer cut: {0}', error)
+        except Exception:
+            self.state.metrics.report_defect('ingress')
+            raise
 
     def end_refused(self, refusal: Refusal) -> None:
         """Count and log a refusal, and tell the caller if it still listens."""
@@ -151,9 +149,11 @@
         if not call.match.route.is_repeatable:
             # A caller sends what stands behind a closing answer once more.
             await self.request.wait_turn()
-        body = self.open_body()
-        first = await body.read_first(self.state.settings.call.replay_bytes)
-        inbound = self.build_inbound(body, first)
+        inbound = await read_inbound(
+            self.request,
+            self.dialect.dropped_headers,
+            self.state.settings.call,
+        )
         if inbound.rest is None:
             failure = await self.attempts.run(inbound)
         else:
@@ -172,7 +172,7 @@
         """Refuse early what a server further down would refuse late."""
         levels = (
             self.state.balancer.service_level(call.service),
-            self.state.deep_level(call.match.name).read(),
+            self.state.deep_levels[call.match.name].read(),
         )
         importance = call.origin.context.importance
         if should_refuse(max(levels), importance, self.state.chance):
@@ -190,24 +190,3 @@
                 Reason.OVERLOADED,
                 'calls further down find no room',
             )
-
-    def open_body(self) -> RequestBody:
-        """Return the request body, to be read in bounded memory."""
-        limits = self.state.settings.call
-        return RequestBody(
-            self.request,
-            max_bytes=limits.max_body_bytes,
-            stall_s=limits.stall_s,
-        )
-
-    def build_inbound(self, body: RequestBody, first: bytes) -> Inbound:
-        """Return what is sent on, without the caller's key."""
-        request = self.request
-        return Inbound(
-            request.method,
-            request.target,
-            clean_headers(self.headers, self.dialect.dropped_headers),
-            first,
-            None if body.is_complete else body.read_rest(),
-            body.length,
-        )
--- a/limpetshore/levels.py
+++ b/limpetshore/levels.py
@@ -67,8 +67,12 @@
 
     def report(self, level: float, weight: float = 1) -> None:
         """Take in a report; a weight below one averages reports."""
+        if not level and not self.level:
+            return
         current = self.read()
         self.level = current + (level - current) * weight
+        if self.level < IDLE_LEVEL:
+            self.level = 0
         self.at = clock.now()
 
     def read(self) -> float:
--- a/limpetshore/messages.py
+++ b/limpetshore/messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from limpetshore.httpclient import Headers
+from limpetshore.policies import Importance
 
 Message = TypeVar('Message')
 
@@ -46,7 +47,7 @@
     request_id: str
     customer: str
     route: str
-    importance: int
+    importance: Importance
     timeout_ms: int
     retries_left: int
     depth: int
@@ -232,11 +233,12 @@
     [(b'a', b'1')]
     """
     unwanted = find_unwanted(take_header(headers, b'connection'), dropped)
-    return [
-        header
-        for header in headers
-        if header[0] not in unwanted and not header[0].startswith(PREFIX)
-    ]
+    kept = []
+    for header in headers:
+        name = header[0]
+        if name not in unwanted and not name.startswith(PREFIX):
+            kept.append(header)
+    return kept
 
 
 @functools.lru_cache(maxsize=KEPT_CONNECTION_LINES)
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -192,7 +192,7 @@
         self.ingress.index = index
         self.guard.policy_version = index.version
         self.budgets.follow_policy(index.policy.customers)
-        self.balancer.drained = index.drained
+        self.balancer.follow_drained(index.drained)
         self.guard.admission.weights = {
             name: customer.weight
             for name, customer in index.policy.customers.items()
--- a/limpetshore/peers.py
+++ b/limpetshore/peers.py
@@ -9,7 +9,6 @@
 from limpetshore.bodies import (
     AnswerSender,
     CallerGoneError,
-    RequestBody,
     send_refusal,
 )
 from limpetshore.dialects import OwnCallerDialect
@@ -25,9 +24,9 @@
     Answer,
     AnswerRefusedError,
     Exchange,
-    Inbound,
     OutboundRequest,
     read_chunk_within,
+    read_inbound,
     send_request,
 )
 from limpetshore.guard import Guard, GuardExchange
@@ -100,12 +99,7 @@
         call = self.guard.settings.call
         deadline = clock.now() + meta.timeout_ms / MS_IN_S
         try:
-            body = RequestBody(
-                request,
-                max_bytes=call.max_body_bytes,
-                stall_s=call.stall_s,
-            )
-            first = await body.read_first(call.replay_bytes)
+            inbound = await read_inbound(request, DROPPED_FROM_PEERS, call)
         except RefusedError as error:
             described = self.guard.describe_answer(error.refusal)
             wrapped = AnswerRefusedError(error.refusal, described)
@@ -113,14 +107,6 @@
             return
         except CallerGoneError:
             return
-        inbound = Inbound(
-            request.method,
-            request.target,
-            clean_headers(request.headers, DROPPED_FROM_PEERS),
-            first,
-            None if body.is_complete else body.read_rest(),
-            body.length,
-        )
         outbound = OutboundRequest(inbound, meta, deadline, request)
         if inbound.rest is None:
             await self.carry(outbound, sender)
--- a/limpetshore/platform/dialects.py
+++ b/limpetshore/platform/dialects.py
@@ -118,6 +118,8 @@
 
     def find_shed(self, head: ResponseHead) -> Reason | None:
         """Return why the server did not run a request, None if it did."""
+        if head.status < FIRST_REDIRECT:
+            return None
         if head.status == MISDIRECTED:
             return Reason.NOT_OWNER
         if take_header(head.headers, wire.NOT_EXECUTED) is not None:
@@ -135,9 +137,10 @@
             return 'the answer is for another request'
         if not FIRST_SUCCESS <= head.status < FIRST_REDIRECT:
             return ''
-        if take_header(head.headers, wire.SEAL) is None:
+        names = {name for name, _ in head.headers}
+        if wire.SEAL not in names:
             return 'a success without a seal'
-        if take_header(head.headers, b'content-encoding') is not None:
+        if b'content-encoding' in names:
             return 'a body that was encoded on the way'
         return ''
 
--- a/limpetshore/platform/heartbeats.py
+++ b/limpetshore/platform/heartbeats.py
@@ -12,12 +12,13 @@
 from limpetshore.guard import Guard
 from limpetshore.platform import wire
 from limpetshore.serving import CallApp, ServerRequest
+from limpetshore.settings import CallSection
 
 logger = Logger(__name__)
 
 PREFIX = '/instances/'
 MAX_HEARTBEAT_BYTES = 16384
-STALL_S = 2
+HEARTBEAT_LIMITS = CallSection(max_body_bytes=MAX_HEARTBEAT_BYTES, stall_s=2)
 MS_IN_S = 1000
 OK = 200
 BAD_REQUEST = 400
@@ -60,11 +61,7 @@
         if request.method == b'DELETE':
             self.take_departure(instance)
             return OK
-        body = RequestBody(
-            request,
-            max_bytes=MAX_HEARTBEAT_BYTES,
-            stall_s=STALL_S,
-        )
+        body = RequestBody(request, HEARTBEAT_LIMITS)
         content = await body.read_first(MAX_HEARTBEAT_BYTES)
         try:
             heartbeat = wire.decode(wire.Heartbeat, content)
--- a/limpetshore/serving.py
+++ b/limpetshore/serving.py
@@ -15,6 +15,7 @@
 
 from limpetshore import clock
 from limpetshore.httpclient import (
+    HEADER_LINE,
     UNACKED_TIMEOUT_MS,
     Address,
     Headers,
@@ -142,14 +143,12 @@
         """Prepare the head, which goes out with the first piece of body."""
         self.has_started = True
         is_bodyless = status in BODYLESS_STATUSES
+        is_sized = b'content-length' in dict(headers)
         lines = [STATUS_LINES.get(status) or b'HTTP/1.1 %d \r\n' % status]
-        is_sized = False
-        for name, value in headers:
-            lines.append(b'%b: %b\r\n' % (name, value))
-            is_sized = is_sized or name == b'content-length'
+        lines += map(HEADER_LINE.__mod__, headers)
         self.is_chunked_answer = not is_sized and not is_bodyless
         if self.is_chunked_answer:
-            lines.append(b'%b: %b\r\n' % CHUNKED)
+            lines.append(HEADER_LINE % CHUNKED)
         if not self.connection.may_stay_open(self):
             self.is_kept_alive = False
             lines.append(CLOSE_LINE)
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -124,6 +124,18 @@
     exchange([[b'\x00\x01 nothing\r\n\r\n']], work)
 
 
+def test_connection_with_garbage_behind_an_answer_is_dropped():
+    """Send the next request on a connection that nothing damaged."""
+
+    async def work(pool):
+        body, _ = await fetch(pool)
+        again, _ = await fetch(pool)
+        return body, again
+
+    script = [[answer(b'own') + b'\x00\x01 nothing\r\n\r\n'], []]
+    assert exchange(script, work) == (b'own', b'own')
+
+
 def test_answer_to_an_earlier_request_is_skipped():
     """Read on to the next answer when the first is a stray one."""
 
