Give up no attempt once the node leaves

Ruled out: the deadline of the first attempt, which was 0.2 s away.

Change: an overdue answer is not given up by a node that leaves. The test failed before.

--- a/limpetshore/attempts.py
+++ b/limpetshore/attempts.py
@@ -136,9 +136,13 @@
         return balancer.has_untried(self.call.service, self.tried)
 
     def may_abandon(self) -> bool:
-        """Tell whether an overdue answer can be asked for elsewhere."""
+        """Tell whether an overdue answer can be asked for elsewhere.
+
+        A node that leaves waits for the answers it has begun to wait for.
+        """
         return (
             self.is_repeatable
+            and not self.state.guard.is_leaving
             and self.call.origin.budget.left > 0
             and self.state.retry_tokens[self.call.service].tokens >= 1
         )
