--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -11,7 +11,7 @@
 import time
 
 from bench.path import cpu_seconds
-from limpetshore.policies import hash_key
+from limpetshore.state.policies import hash_key
 from standins.local_fleet import (
     CONTROL,
     PEERS,
--- a/bench/handling.py
+++ b/bench/handling.py
@@ -13,16 +13,17 @@
 
 import anyio
 
-from limpetshore import clock, httpclient
-from limpetshore.backends import Announcement
-from limpetshore.httpclient import HttpConnection
-from limpetshore.members import Status
-from limpetshore.messages import AnswerMeta, CallMeta, json_encoder
+from limpetshore import clock
 from limpetshore.node import Node
 from limpetshore.platform.surface import PlatformSurface
-from limpetshore.policies import Customer, PolicyIndex, Route, hash_key
-from limpetshore.serving import ServerConnection
+from limpetshore.protocol.messages import AnswerMeta, CallMeta, json_encoder
 from limpetshore.settings import check_settings
+from limpetshore.state.backends import Announcement
+from limpetshore.state.members import Status
+from limpetshore.state.policies import Customer, PolicyIndex, Route, hash_key
+from limpetshore.transport import httpclient
+from limpetshore.transport.httpclient import HttpConnection
+from limpetshore.transport.serving import ServerConnection
 from tests.builders import KEY, build_node_state, build_policy
 
 REQUEST_ID = b'9c41d07be2a35f68'
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from limpetshore.policies import hash_key
+from limpetshore.state.policies import hash_key
 from standins.local_fleet import LocalFleet, read_report
 
 CHAIN = ('edge', 'plan', 'stock', 'yard')
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -9,22 +9,22 @@
 
 import anyio
 
-from limpetshore.fleet import FleetState
-from limpetshore.gossip import Gossip
-from limpetshore.ledger import Ledger, encode_ledger, plan_ledger
-from limpetshore.members import MemberTable, Status
-from limpetshore.messages import Exchange, NodeState, encode
+from limpetshore.coordination.fleet import FleetState
+from limpetshore.coordination.gossip import Gossip
+from limpetshore.coordination.shards import ShardKeeper
 from limpetshore.metrics import Metrics
-from limpetshore.policies import (
+from limpetshore.protocol.messages import Exchange, NodeState, encode
+from limpetshore.settings import FleetSection
+from limpetshore.state.ledger import Ledger, encode_ledger, plan_ledger
+from limpetshore.state.members import MemberTable, Status
+from limpetshore.state.policies import (
     Customer,
     Policy,
     PolicyIndex,
     Route,
     encode_policy,
 )
-from limpetshore.settings import FleetSection
-from limpetshore.shards import ShardKeeper
-from limpetshore.standing import Standing
+from limpetshore.state.standing import Standing
 
 SERVICES = 61
 ZONES = 5
--- a/bench/transports.py
+++ b/bench/transports.py
@@ -9,8 +9,8 @@
 import httpcore
 from grpc import aio
 
-from limpetshore.httpclient import Address, HttpPool
-from limpetshore.httpserver import HttpServer
+from limpetshore.transport.httpclient import Address, HttpPool
+from limpetshore.transport.httpserver import HttpServer
 
 BODY = b'x' * 1024
 CALLS = 3000
--- a/limpetshore/admin.py
+++ b/limpetshore/admin.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from limpetshore.backends import read_announcement
-from limpetshore.guard import Guard
 from limpetshore.metrics import Metrics
+from limpetshore.routing.guard import Guard
+from limpetshore.state.backends import read_announcement
 
 MAX_ANNOUNCEMENT_BYTES = 4096
 OK = 200
--- a/limpetshore/cli.py
+++ b/limpetshore/cli.py
@@ -10,7 +10,8 @@
 import msgspec
 import typer
 
-from limpetshore import explaining, log, node, operators
+from limpetshore import explaining, log, node
+from limpetshore.coordination import operators
 from limpetshore.errors import (
     LimpetshoreError,
     SettingsError,
@@ -18,14 +19,14 @@
     TicketError,
 )
 from limpetshore.metrics import Metrics
-from limpetshore.policies import Customer, Policy, hash_key, issue_key
 from limpetshore.settings import (
     describe_settings,
     load_settings,
     parse_address,
 )
-from limpetshore.store import HttpObjectStore, ObjectStore
-from limpetshore.tickets import Outcome, Ticket, load_ticket
+from limpetshore.state.policies import Customer, Policy, hash_key, issue_key
+from limpetshore.state.store import HttpObjectStore, ObjectStore
+from limpetshore.state.tickets import Outcome, Ticket, load_ticket
 
 BAD_INPUT = 2
 FAILED = 1
--- /dev/null
+++ b/limpetshore/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Agree with other nodes, and with the store."""
--- a/limpetshore/borrowing.py
+++ b/limpetshore/coordination/borrowing.py
@@ -6,10 +6,10 @@
 from anyio.abc import TaskGroup
 
 from limpetshore import clock
-from limpetshore.conserved import ConservedBudgets
+from limpetshore.decisions.conserved import ConservedBudgets
+from limpetshore.decisions.schedule import ReturnSchedule
 from limpetshore.errors import refuse
-from limpetshore.messages import LendRequest
-from limpetshore.schedule import ReturnSchedule
+from limpetshore.protocol.messages import LendRequest
 from limpetshore.verdicts import Reason
 
 ROUND_LENDERS = 3
--- a/limpetshore/fleet.py
+++ b/limpetshore/coordination/fleet.py
@@ -6,19 +6,19 @@
 from logbook import Logger
 
 from limpetshore import clock
-from limpetshore.ledger import VersionedLedger, decode_ledger
-from limpetshore.members import MemberTable, Status
-from limpetshore.messages import (
+from limpetshore.coordination.shards import ShardKeeper
+from limpetshore.metrics import Metrics
+from limpetshore.protocol.messages import (
     NEVER_S,
     AnswerMeta,
     Digest,
     Document,
     NodeState,
 )
-from limpetshore.metrics import Metrics
-from limpetshore.policies import PolicyIndex, decode_policy
-from limpetshore.shards import ShardKeeper
-from limpetshore.standing import Standing
+from limpetshore.state.ledger import VersionedLedger, decode_ledger
+from limpetshore.state.members import MemberTable, Status
+from limpetshore.state.policies import PolicyIndex, decode_policy
+from limpetshore.state.standing import Standing
 
 logger = Logger(__name__)
 
--- a/limpetshore/gossip.py
+++ b/limpetshore/coordination/gossip.py
@@ -7,12 +7,11 @@
 from logbook import Logger
 
 from limpetshore import clock
-from limpetshore.conserved import ConservedBudgets
-from limpetshore.control import ControlClient, ControlHandler
+from limpetshore.coordination.fleet import LEDGER, POLICY, FleetState
+from limpetshore.decisions.conserved import ConservedBudgets
 from limpetshore.errors import PeerError
-from limpetshore.fleet import LEDGER, POLICY, FleetState
-from limpetshore.members import ALIVE, Status, rank_names
-from limpetshore.messages import (
+from limpetshore.protocol.control import ControlClient, ControlHandler
+from limpetshore.protocol.messages import (
     Digest,
     Document,
     Exchange,
@@ -24,6 +23,7 @@
     NodeState,
 )
 from limpetshore.settings import FleetSection
+from limpetshore.state.members import ALIVE, Status, rank_names
 
 logger = Logger(__name__)
 
--- a/limpetshore/granting.py
+++ b/limpetshore/coordination/granting.py
@@ -3,11 +3,12 @@
 from logbook import Logger
 
 from limpetshore import clock
-from limpetshore.control import ControlClient
+from limpetshore.coordination.borrowing import Lender
+from limpetshore.coordination.fleet import FleetState
+from limpetshore.coordination.purses import Granter
 from limpetshore.errors import PeerError
-from limpetshore.fleet import FleetState
-from limpetshore.members import Status
-from limpetshore.messages import (
+from limpetshore.protocol.control import ControlClient
+from limpetshore.protocol.messages import (
     GrantReply,
     GrantRequest,
     LendReply,
@@ -15,8 +16,7 @@
     TokenAsk,
     TokenGrant,
 )
-from limpetshore.purses import Granter
-from limpetshore.borrowing import Lender
+from limpetshore.state.members import Status
 
 logger = Logger(__name__)
 
--- a/limpetshore/operators.py
+++ b/limpetshore/coordination/operators.py
@@ -2,15 +2,15 @@
 
 import anyio
 
+from limpetshore.coordination.fleet import CURRENT, POLICY
 from limpetshore.errors import (
     StoreConflictError,
     StoreUnavailableError,
     TicketError,
 )
-from limpetshore.fleet import CURRENT, POLICY
-from limpetshore.policies import Policy, decode_policy, encode_policy
-from limpetshore.store import MUST_NOT_EXIST, ObjectStore
-from limpetshore.tickets import Outcome, Ticket, apply_ticket
+from limpetshore.state.policies import Policy, decode_policy, encode_policy
+from limpetshore.state.store import MUST_NOT_EXIST, ObjectStore
+from limpetshore.state.tickets import Outcome, Ticket, apply_ticket
 
 ATTEMPTS = 8
 PAUSE_S = 0.25
--- a/limpetshore/purses.py
+++ b/limpetshore/coordination/purses.py
@@ -7,9 +7,9 @@
 from anyio.abc import TaskGroup
 
 from limpetshore import clock
-from limpetshore.borrowing import Spender
+from limpetshore.coordination.borrowing import Spender
 from limpetshore.errors import refuse
-from limpetshore.messages import TokenAsk, TokenGrant
+from limpetshore.protocol.messages import TokenAsk, TokenGrant
 from limpetshore.verdicts import Reason
 
 DEMAND_WINDOW_S = 0.5
--- a/limpetshore/shards.py
+++ b/limpetshore/coordination/shards.py
@@ -1,12 +1,21 @@
 """Grant tokens from the shards that this node holds."""
 
 from limpetshore import clock
-from limpetshore.buckets import SharedBucket
-from limpetshore.ledger import Holder, Ledger, VersionedLedger, find_shards
-from limpetshore.messages import GrantReply, GrantRequest, TokenAsk, TokenGrant
-from limpetshore.policies import PolicyIndex
-from limpetshore.standing import Standing
-
+from limpetshore.decisions.buckets import SharedBucket
+from limpetshore.protocol.messages import (
+    GrantReply,
+    GrantRequest,
+    TokenAsk,
+    TokenGrant,
+)
+from limpetshore.state.ledger import (
+    Holder,
+    Ledger,
+    VersionedLedger,
+    find_shards,
+)
+from limpetshore.state.policies import PolicyIndex
+from limpetshore.state.standing import Standing
 
 BURST_PER_SHARD = 8
 
--- a/limpetshore/watching.py
+++ b/limpetshore/coordination/watching.py
@@ -7,25 +7,25 @@
 from logbook import Logger
 
 from limpetshore import clock
-from limpetshore.errors import (
-    StoreConflictError,
-    StoreError,
-    StoreHistoryError,
-    StoreUnavailableError,
-)
-from limpetshore.fleet import (
+from limpetshore.coordination.fleet import (
     CURRENT,
     LEDGER,
     NODES,
     POLICY,
     FleetState,
 )
-from limpetshore.gossip import Gossip
-from limpetshore.ledger import encode_ledger, leave_ledger, plan_ledger
-from limpetshore.members import ALIVE, Status, rank_names
-from limpetshore.messages import NEVER_S, Document, NodeState
+from limpetshore.coordination.gossip import Gossip
+from limpetshore.errors import (
+    StoreConflictError,
+    StoreError,
+    StoreHistoryError,
+    StoreUnavailableError,
+)
+from limpetshore.protocol.messages import NEVER_S, Document, NodeState
 from limpetshore.settings import FleetSection
-from limpetshore.store import MUST_NOT_EXIST, ObjectStore, StoredObject
+from limpetshore.state.ledger import encode_ledger, leave_ledger, plan_ledger
+from limpetshore.state.members import ALIVE, Status, rank_names
+from limpetshore.state.store import MUST_NOT_EXIST, ObjectStore, StoredObject
 
 logger = Logger(__name__)
 
--- /dev/null
+++ b/limpetshore/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decide who is served, where, and when, without input or output."""
--- a/limpetshore/admission.py
+++ b/limpetshore/decisions/admission.py
@@ -5,10 +5,10 @@
 import anyio
 
 from limpetshore import clock
+from limpetshore.decisions.levels import AdmissionLevel
+from limpetshore.decisions.limits import ConcurrencyLimit
 from limpetshore.errors import RefusedError, refuse
-from limpetshore.levels import AdmissionLevel
-from limpetshore.limits import ConcurrencyLimit
-from limpetshore.policies import Importance
+from limpetshore.importance import Importance
 from limpetshore.verdicts import Reason, Refusal
 
 SERVICE_TIME_WEIGHT = 0.1
--- a/limpetshore/balancing.py
+++ b/limpetshore/decisions/balancing.py
@@ -6,9 +6,9 @@
 from typing import NamedTuple
 
 from limpetshore import clock
-from limpetshore.levels import ReportedLevel
-from limpetshore.members import MemberTable
-from limpetshore.messages import AnswerMeta, NodeState
+from limpetshore.decisions.levels import ReportedLevel
+from limpetshore.protocol.messages import AnswerMeta, NodeState
+from limpetshore.state.members import MemberTable
 from limpetshore.verdicts import LOST_REASONS, UNSENT_REASONS, Reason
 
 FAILURES_UNTIL_ASIDE = 3
--- a/limpetshore/buckets.py
+++ b/limpetshore/decisions/buckets.py
@@ -3,7 +3,7 @@
 import math
 
 from limpetshore import clock
-from limpetshore.messages import TokenAsk
+from limpetshore.protocol.messages import TokenAsk
 
 EXPIRY_MARGIN_S = 0.1
 
--- a/limpetshore/conserved.py
+++ b/limpetshore/decisions/conserved.py
@@ -11,9 +11,9 @@
 from typing import NamedTuple
 
 from limpetshore import clock
-from limpetshore.members import MemberTable, Status, rank_names
-from limpetshore.messages import LendReply, LendRequest, NodeState
-from limpetshore.policies import Customer
+from limpetshore.protocol.messages import LendReply, LendRequest, NodeState
+from limpetshore.state.members import MemberTable, Status, rank_names
+from limpetshore.state.policies import Customer
 
 TOKENS_PER_OWNER = 4
 KEPT_BY_LENDER = 1
--- a/limpetshore/levels.py
+++ b/limpetshore/decisions/levels.py
@@ -3,7 +3,7 @@
 import random
 
 from limpetshore import clock
-from limpetshore.policies import Importance
+from limpetshore.importance import Importance
 
 INTERVAL_S = 0.25
 PROBING_SHARE = 0.05
--- a/limpetshore/splits.py
+++ b/limpetshore/decisions/splits.py
@@ -1,6 +1,6 @@
 """Share the requests of a route among services by weight."""
 
-from limpetshore.policies import RouteMatch, SplitPart
+from limpetshore.state.policies import RouteMatch, SplitPart
 
 
 class Splitter:
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -11,29 +11,29 @@
 
 from limpetshore import clock
 from limpetshore.admin import AdminApp
-from limpetshore.balancing import Balancer
-from limpetshore.borrowing import Borrower, Spender
-from limpetshore.callers import Callers
-from limpetshore.conserved import ConservedBudgets
-from limpetshore.control import ControlClient, ControlServer
-from limpetshore.fleet import FleetState, PolicyFollower
-from limpetshore.gossip import Gossip
-from limpetshore.granting import FleetGranter, FleetLender
-from limpetshore.guard import Guard
-from limpetshore.httpserver import HttpServer
-from limpetshore.ingress import Ingress
-from limpetshore.members import MemberTable, Status
-from limpetshore.messages import AnswerMeta, NodeState
+from limpetshore.coordination.borrowing import Borrower, Spender
+from limpetshore.coordination.fleet import FleetState, PolicyFollower
+from limpetshore.coordination.gossip import Gossip
+from limpetshore.coordination.granting import FleetGranter, FleetLender
+from limpetshore.coordination.purses import Purses
+from limpetshore.coordination.shards import ShardKeeper
+from limpetshore.coordination.watching import StoreLink
+from limpetshore.decisions.balancing import Balancer
+from limpetshore.decisions.conserved import ConservedBudgets
 from limpetshore.metrics import Metrics
-from limpetshore.peers import PeerApp
-from limpetshore.policies import PolicyIndex
-from limpetshore.purses import Purses
-from limpetshore.serving import CallServer
+from limpetshore.protocol.control import ControlClient, ControlServer
+from limpetshore.protocol.messages import AnswerMeta, NodeState
+from limpetshore.routing.callers import Callers
+from limpetshore.routing.guard import Guard
+from limpetshore.routing.ingress import Ingress
+from limpetshore.routing.peers import PeerApp
 from limpetshore.settings import NodeSettings, parse_address
-from limpetshore.shards import ShardKeeper
-from limpetshore.standing import Standing
+from limpetshore.state.members import MemberTable, Status
+from limpetshore.state.policies import PolicyIndex
+from limpetshore.state.standing import Standing
 from limpetshore.surfaces import OwnSurface, Surface
-from limpetshore.watching import StoreLink
+from limpetshore.transport.httpserver import HttpServer
+from limpetshore.transport.serving import CallServer
 
 logger = Logger(__name__)
 
--- a/limpetshore/platform/configuration.py
+++ b/limpetshore/platform/configuration.py
@@ -2,16 +2,16 @@
 
 from typing import NamedTuple
 
+from limpetshore.importance import Importance
 from limpetshore.platform.wire import (
     REPEATABLE_KINDS,
     Configuration,
     CustomerEntry,
     RouteEntry,
 )
-from limpetshore.policies import (
+from limpetshore.state.policies import (
     ANY_METHOD,
     Customer,
-    Importance,
     Policy,
     Route,
     ServiceRecord,
--- a/limpetshore/platform/dialects.py
+++ b/limpetshore/platform/dialects.py
@@ -2,7 +2,8 @@
 
 import math
 
-from limpetshore.dialects import (
+from limpetshore.platform import wire
+from limpetshore.protocol.dialects import (
     AUTHORIZATION,
     ID_BYTES,
     MS_IN_S,
@@ -15,10 +16,9 @@
     decode_request_id,
     read_bearer,
 )
-from limpetshore.httpclient import Headers, ResponseHead
-from limpetshore.messages import take_header
-from limpetshore.platform import wire
+from limpetshore.protocol.messages import take_header
 from limpetshore.randomness import random_pool
+from limpetshore.transport.httpclient import Headers, ResponseHead
 from limpetshore.verdicts import HTTP_STATUS, Reason, Refusal, Verdict
 
 LEAST_TIMEOUT_MS = 1
--- a/limpetshore/platform/health.py
+++ b/limpetshore/platform/health.py
@@ -3,12 +3,12 @@
 import anyio
 from logbook import Logger
 
-from limpetshore.backends import Announcement
 from limpetshore.errors import TransportError
-from limpetshore.httpclient import HttpPool
-from limpetshore.messages import take_header
 from limpetshore.platform import wire
+from limpetshore.protocol.messages import take_header
 from limpetshore.settings import NodeSettings, parse_address
+from limpetshore.state.backends import Announcement
+from limpetshore.transport.httpclient import HttpPool
 
 logger = Logger(__name__)
 
--- a/limpetshore/platform/heartbeats.py
+++ b/limpetshore/platform/heartbeats.py
@@ -6,13 +6,13 @@
 from logbook import Logger
 
 from limpetshore import clock
-from limpetshore.backends import Announcement
-from limpetshore.bodies import CallerGoneError, RequestBody
 from limpetshore.errors import RefusedError
-from limpetshore.guard import Guard
 from limpetshore.platform import wire
-from limpetshore.serving import CallApp, ServerRequest
+from limpetshore.protocol.bodies import CallerGoneError, RequestBody
+from limpetshore.routing.guard import Guard
 from limpetshore.settings import CallSection
+from limpetshore.state.backends import Announcement
+from limpetshore.transport.serving import CallApp, ServerRequest
 
 logger = Logger(__name__)
 
--- a/limpetshore/platform/store.py
+++ b/limpetshore/platform/store.py
@@ -5,16 +5,16 @@
 import msgspec
 from logbook import Logger
 
+from limpetshore.coordination.fleet import POLICY
 from limpetshore.errors import (
     StoreConflictError,
     StoreError,
     StoreHistoryError,
 )
-from limpetshore.fleet import POLICY
 from limpetshore.platform import wire
 from limpetshore.platform.configuration import build_policy
-from limpetshore.policies import encode_policy
-from limpetshore.store import (
+from limpetshore.state.policies import encode_policy
+from limpetshore.state.store import (
     MUST_NOT_EXIST,
     NOT_FOUND,
     Changes,
--- a/limpetshore/platform/surface.py
+++ b/limpetshore/platform/surface.py
@@ -1,6 +1,5 @@
 """Put together all through which a node meets the platform."""
 
-from limpetshore.backends import Announcement
 from limpetshore.metrics import Metrics
 from limpetshore.platform.dialects import (
     PlatformBackendDialect,
@@ -9,11 +8,12 @@
 from limpetshore.platform.health import ask_server
 from limpetshore.platform.heartbeats import HeartbeatApp
 from limpetshore.platform.store import PlatformStore
-from limpetshore.policies import Policy
-from limpetshore.serving import CallApp, CallServer, ServerRequest
 from limpetshore.settings import NodeSettings, parse_address
-from limpetshore.store import HttpStoreClient, ObjectStore
+from limpetshore.state.backends import Announcement
+from limpetshore.state.policies import Policy
+from limpetshore.state.store import HttpStoreClient, ObjectStore
 from limpetshore.surfaces import ServedNode, Surface
+from limpetshore.transport.serving import CallApp, CallServer, ServerRequest
 
 CLOSE_WITHIN_S = 1
 OK = 200
--- /dev/null
+++ b/limpetshore/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Say what nodes, callers and backend servers tell each other."""
--- a/limpetshore/bodies.py
+++ b/limpetshore/protocol/bodies.py
@@ -4,12 +4,12 @@
 
 import anyio
 
-from limpetshore.dialects import RenderedRefusal
 from limpetshore.errors import LimpetshoreError, refuse
-from limpetshore.httpclient import Headers
-from limpetshore.messages import take_header
-from limpetshore.serving import ServerRequest
+from limpetshore.protocol.dialects import RenderedRefusal
+from limpetshore.protocol.messages import take_header
 from limpetshore.settings import CallSection
+from limpetshore.transport.httpclient import Headers
+from limpetshore.transport.serving import ServerRequest
 from limpetshore.verdicts import Reason
 
 
--- a/limpetshore/control.py
+++ b/limpetshore/protocol/control.py
@@ -14,7 +14,8 @@
 )
 
 from limpetshore.errors import PeerError
-from limpetshore.messages import (
+from limpetshore.metrics import Metrics
+from limpetshore.protocol.messages import (
     Document,
     Exchange,
     FetchRequest,
@@ -24,7 +25,6 @@
     LendRequest,
     encode,
 )
-from limpetshore.metrics import Metrics
 
 SERVICE = 'limpetshore.Control'
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
--- a/limpetshore/dialects.py
+++ b/limpetshore/protocol/dialects.py
@@ -7,8 +7,7 @@
 
 from limpetshore import clock
 from limpetshore.errors import refuse
-from limpetshore.httpclient import Headers, ResponseHead
-from limpetshore.messages import (
+from limpetshore.protocol.messages import (
     CUSTOMER_HEADER,
     REASON_HEADER,
     REQUEST_ID_HEADER,
@@ -18,6 +17,7 @@
     take_header,
 )
 from limpetshore.randomness import random_pool
+from limpetshore.transport.httpclient import Headers, ResponseHead
 from limpetshore.verdicts import Reason, Refusal
 
 AUTHORIZATION = b'authorization'
--- a/limpetshore/exchanges.py
+++ b/limpetshore/protocol/exchanges.py
@@ -7,22 +7,26 @@
 from anyio.abc import TaskGroup
 
 from limpetshore import clock
-from limpetshore.bodies import CallerGoneError, RequestBody
 from limpetshore.errors import (
     LimpetshoreError,
     RefusedError,
     TruncatedError,
     refuse,
 )
-from limpetshore.httpclient import Headers, HttpConnection, ResponseHead
-from limpetshore.messages import (
+from limpetshore.protocol.bodies import CallerGoneError, RequestBody
+from limpetshore.protocol.messages import (
     AnswerMeta,
     CallMeta,
     clean_headers,
     take_header,
 )
-from limpetshore.serving import ServerRequest
 from limpetshore.settings import CallSection
+from limpetshore.transport.httpclient import (
+    Headers,
+    HttpConnection,
+    ResponseHead,
+)
+from limpetshore.transport.serving import ServerRequest
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
 
--- a/limpetshore/messages.py
+++ b/limpetshore/protocol/messages.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from limpetshore.httpclient import Headers
-from limpetshore.policies import Importance
+from limpetshore.importance import Importance
+from limpetshore.transport.httpclient import Headers
 
 Message = TypeVar('Message')
 
--- /dev/null
+++ b/limpetshore/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Take calls from callers and nodes to a backend server and back."""
--- a/limpetshore/attempts.py
+++ b/limpetshore/routing/attempts.py
@@ -3,30 +3,30 @@
 from typing import NamedTuple
 
 from limpetshore import clock
-from limpetshore.bodies import AnswerSender, CallerGoneError
-from limpetshore.budgets import is_retry_safe
-from limpetshore.callers import Origin
-from limpetshore.dialects import ID_BYTES, MS_IN_S, RequestName
-from limpetshore.entry import EntryState
+from limpetshore.decisions.budgets import is_retry_safe
+from limpetshore.decisions.shedding import CLEAR_SIGN
 from limpetshore.errors import RefusedError, TruncatedError, refuse
-from limpetshore.exchanges import (
+from limpetshore.protocol.bodies import AnswerSender, CallerGoneError
+from limpetshore.protocol.dialects import ID_BYTES, MS_IN_S, RequestName
+from limpetshore.protocol.exchanges import (
     Answer,
     AnswerRefusedError,
     Exchange,
     Inbound,
     OutboundRequest,
 )
-from limpetshore.messages import (
+from limpetshore.protocol.messages import (
     CallMeta,
     NodeState,
     clean_headers,
     take_header,
 )
-from limpetshore.peers import NO_NAMES, pass_on
-from limpetshore.policies import RouteMatch
 from limpetshore.randomness import random_pool
-from limpetshore.repeats import find_owner
-from limpetshore.shedding import CLEAR_SIGN
+from limpetshore.routing.callers import Origin
+from limpetshore.routing.entry import EntryState
+from limpetshore.routing.peers import NO_NAMES, pass_on
+from limpetshore.state.policies import RouteMatch
+from limpetshore.state.repeats import find_owner
 from limpetshore.verdicts import UNSENT_REASONS, Reason, Refusal, Verdict
 
 # How often a request that no server has seen is placed, by what refused it.
--- a/limpetshore/callers.py
+++ b/limpetshore/routing/callers.py
@@ -3,16 +3,16 @@
 from typing import NamedTuple
 
 from limpetshore import clock
-from limpetshore.borrowing import Spender
-from limpetshore.budgets import RetryBudget
-from limpetshore.calls import CallContext, RunningCall
-from limpetshore.dialects import CallerDialect, RequestName
+from limpetshore.coordination.borrowing import Spender
+from limpetshore.decisions.budgets import RetryBudget
+from limpetshore.decisions.roots import find_precedence
 from limpetshore.errors import refuse
-from limpetshore.guard import Guard
-from limpetshore.policies import PolicyIndex, RouteMatch
-from limpetshore.roots import find_precedence
-from limpetshore.serving import ServerRequest
-from limpetshore.standing import Standing
+from limpetshore.protocol.dialects import CallerDialect, RequestName
+from limpetshore.routing.calls import CallContext, RunningCall
+from limpetshore.routing.guard import Guard
+from limpetshore.state.policies import PolicyIndex, RouteMatch
+from limpetshore.state.standing import Standing
+from limpetshore.transport.serving import ServerRequest
 from limpetshore.verdicts import Reason
 
 ANONYMOUS = ''
--- a/limpetshore/calls.py
+++ b/limpetshore/routing/calls.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple
 
 from limpetshore import clock
-from limpetshore.budgets import RetryBudget
-from limpetshore.policies import Importance
+from limpetshore.decisions.budgets import RetryBudget
+from limpetshore.importance import Importance
 from limpetshore.randomness import random_pool
 
 TOKEN_BYTES = 16
--- a/limpetshore/entry.py
+++ b/limpetshore/routing/entry.py
@@ -4,22 +4,22 @@
 from collections import defaultdict
 from collections.abc import Callable
 
-from limpetshore.balancing import Balancer
-from limpetshore.budgets import RetryTokens
-from limpetshore.callers import Callers
-from limpetshore.exchanges import Exchange
-from limpetshore.guard import Guard, GuardExchange
-from limpetshore.httpclient import HttpPool
-from limpetshore.latencies import LatencyEstimate
-from limpetshore.levels import ReportedLevel
-from limpetshore.messages import AnswerMeta, NodeState
+from limpetshore.decisions.balancing import Balancer
+from limpetshore.decisions.budgets import RetryTokens
+from limpetshore.decisions.latencies import LatencyEstimate
+from limpetshore.decisions.levels import ReportedLevel
+from limpetshore.decisions.shedding import EdgeShedding
+from limpetshore.decisions.splits import Splitter
 from limpetshore.metrics import Metrics
-from limpetshore.peers import PeerExchange
-from limpetshore.policies import PolicyIndex
+from limpetshore.protocol.exchanges import Exchange
+from limpetshore.protocol.messages import AnswerMeta, NodeState
+from limpetshore.routing.callers import Callers
+from limpetshore.routing.guard import Guard, GuardExchange
+from limpetshore.routing.peers import PeerExchange
 from limpetshore.settings import NodeSettings, parse_address
-from limpetshore.shedding import EdgeShedding
-from limpetshore.splits import Splitter
-from limpetshore.standing import Standing
+from limpetshore.state.policies import PolicyIndex
+from limpetshore.state.standing import Standing
+from limpetshore.transport.httpclient import HttpPool
 
 AnswerListener = Callable[[AnswerMeta, NodeState, float], None]
 
--- a/limpetshore/guard.py
+++ b/limpetshore/routing/guard.py
@@ -3,15 +3,9 @@
 from logbook import Logger
 
 from limpetshore import clock
-from limpetshore.admission import Admission
-from limpetshore.backends import LocalBackend
-from limpetshore.calls import (
-    ArrivalLog,
-    CallContext,
-    RunningCall,
-    RunningCalls,
-)
-from limpetshore.dialects import BackendDialect, ServerCall
+from limpetshore.decisions.admission import Admission
+from limpetshore.decisions.limits import AnnouncedLimit, ConcurrencyLimit
+from limpetshore.decisions.shedding import TurnedAway
 from limpetshore.errors import (
     BrokenError,
     ConnectError,
@@ -19,7 +13,9 @@
     TruncatedError,
     refuse,
 )
-from limpetshore.exchanges import (
+from limpetshore.metrics import Metrics
+from limpetshore.protocol.dialects import BackendDialect, ServerCall
+from limpetshore.protocol.exchanges import (
     Answer,
     AnswerRefusedError,
     Exchange,
@@ -28,25 +24,29 @@
     read_head_by,
     send_request,
 )
-from limpetshore.httpclient import (
-    Headers,
-    HttpConnection,
-    HttpPool,
-    ResponseHead,
-)
-from limpetshore.limits import AnnouncedLimit, ConcurrencyLimit
-from limpetshore.messages import (
+from limpetshore.protocol.messages import (
     NEVER_S,
     AnswerMeta,
     CallMeta,
     ProbeReply,
     ProbeRequest,
 )
-from limpetshore.metrics import Metrics
-from limpetshore.repeats import RequestLog, parse_request_id
+from limpetshore.routing.calls import (
+    ArrivalLog,
+    CallContext,
+    RunningCall,
+    RunningCalls,
+)
 from limpetshore.settings import NodeSettings, parse_address
-from limpetshore.shedding import TurnedAway
-from limpetshore.standing import Standing
+from limpetshore.state.backends import LocalBackend
+from limpetshore.state.repeats import RequestLog, parse_request_id
+from limpetshore.state.standing import Standing
+from limpetshore.transport.httpclient import (
+    Headers,
+    HttpConnection,
+    HttpPool,
+    ResponseHead,
+)
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
 logger = Logger(__name__)
--- a/limpetshore/ingress.py
+++ b/limpetshore/routing/ingress.py
@@ -4,23 +4,23 @@
 from logbook import Logger
 
 from limpetshore import clock
-from limpetshore.attempts import Attempts, EnteredCall
-from limpetshore.bodies import (
+from limpetshore.decisions.levels import should_refuse
+from limpetshore.decisions.schedule import suggest_return
+from limpetshore.errors import RefusedError, TruncatedError, refuse
+from limpetshore.importance import Importance
+from limpetshore.protocol.bodies import (
     AnswerSender,
     CallerGoneError,
     send_refusal,
 )
-from limpetshore.callers import ANONYMOUS
-from limpetshore.dialects import RequestName
-from limpetshore.entry import EntryState
-from limpetshore.errors import RefusedError, TruncatedError, refuse
-from limpetshore.exchanges import Inbound, read_inbound
-from limpetshore.httpclient import Headers
-from limpetshore.levels import should_refuse
-from limpetshore.messages import take_header
-from limpetshore.policies import Importance
-from limpetshore.schedule import suggest_return
-from limpetshore.serving import CallApp, ServerRequest
+from limpetshore.protocol.dialects import RequestName
+from limpetshore.protocol.exchanges import Inbound, read_inbound
+from limpetshore.protocol.messages import take_header
+from limpetshore.routing.attempts import Attempts, EnteredCall
+from limpetshore.routing.callers import ANONYMOUS
+from limpetshore.routing.entry import EntryState
+from limpetshore.transport.httpclient import Headers
+from limpetshore.transport.serving import CallApp, ServerRequest
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
 logger = Logger(__name__)
--- a/limpetshore/peers.py
+++ b/limpetshore/routing/peers.py
@@ -6,12 +6,6 @@
 import msgspec
 
 from limpetshore import clock
-from limpetshore.bodies import (
-    AnswerSender,
-    CallerGoneError,
-    send_refusal,
-)
-from limpetshore.dialects import OwnCallerDialect
 from limpetshore.errors import (
     BrokenError,
     ConnectError,
@@ -20,7 +14,13 @@
     TruncatedError,
     refuse,
 )
-from limpetshore.exchanges import (
+from limpetshore.protocol.bodies import (
+    AnswerSender,
+    CallerGoneError,
+    send_refusal,
+)
+from limpetshore.protocol.dialects import OwnCallerDialect
+from limpetshore.protocol.exchanges import (
     Answer,
     AnswerRefusedError,
     Exchange,
@@ -29,15 +29,7 @@
     read_inbound,
     send_request,
 )
-from limpetshore.guard import Guard, GuardExchange
-from limpetshore.httpclient import (
-    Address,
-    Headers,
-    HttpConnection,
-    HttpPool,
-    ResponseHead,
-)
-from limpetshore.messages import (
+from limpetshore.protocol.messages import (
     ANSWER_HEADER,
     CALL_HEADER,
     AnswerMeta,
@@ -50,7 +42,15 @@
     json_encoder,
     take_header,
 )
-from limpetshore.serving import CallApp, ServerRequest
+from limpetshore.routing.guard import Guard, GuardExchange
+from limpetshore.transport.httpclient import (
+    Address,
+    Headers,
+    HttpConnection,
+    HttpPool,
+    ResponseHead,
+)
+from limpetshore.transport.serving import CallApp, ServerRequest
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
 PROBE_PATH = '/limpetshore/probe'
--- /dev/null
+++ b/limpetshore/state/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what a node knows, and how it changes."""
--- a/limpetshore/ledger.py
+++ b/limpetshore/state/ledger.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from limpetshore import clock
-from limpetshore.members import MemberTable, Status, rank_names
+from limpetshore.state.members import MemberTable, Status, rank_names
 
 SHARDS = 32
 FORMAT = 1
--- a/limpetshore/members.py
+++ b/limpetshore/state/members.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from limpetshore import clock
-from limpetshore.messages import NodeState
+from limpetshore.protocol.messages import NodeState
 
 
 class Status(enum.IntEnum):
--- a/limpetshore/policies.py
+++ b/limpetshore/state/policies.py
@@ -1,6 +1,5 @@
 """Describe what operators allow: customers, routes and drained nodes."""
 
-import enum
 import functools
 import hashlib
 import hmac
@@ -10,6 +9,7 @@
 import msgspec
 
 from limpetshore.checks import Name, Seconds, build_record, check_value
+from limpetshore.importance import Importance, parse_importance
 
 FORMAT = 1
 KEY_BYTES = 32
@@ -27,15 +27,6 @@
 Path = Annotated[str, msgspec.Meta(pattern='^/[!-~]{0,200}$')]
 
 
-class Importance(enum.IntEnum):
-    """Rank requests; the lowest are shed first."""
-
-    LOW = 0
-    NORMAL = 1
-    HIGH = 2
-    CRITICAL = 3
-
-
 ImportanceText = Annotated[
     str,
     msgspec.Meta(pattern='^(low|normal|high|critical)$'),
@@ -140,15 +131,6 @@
         return method in methods or ANY_METHOD in methods
 
 
-def parse_importance(text: str) -> Importance:
-    """Return the rank of an importance.
-
-    >>> parse_importance('high') > parse_importance('low')
-    True
-    """
-    return Importance[text.upper()]
-
-
 def issue_key() -> str:
     """Return a new secret key."""
     return KEY_PREFIX + secrets.token_urlsafe(KEY_BYTES)
--- a/limpetshore/store.py
+++ b/limpetshore/state/store.py
@@ -13,8 +13,8 @@
     StoreError,
     StoreUnavailableError,
 )
-from limpetshore.httpclient import Address
 from limpetshore.metrics import Metrics
+from limpetshore.transport.httpclient import Address
 
 MUST_NOT_EXIST = 0
 OK = 200
--- a/limpetshore/tickets.py
+++ b/limpetshore/state/tickets.py
@@ -9,7 +9,7 @@
 
 from limpetshore.checks import Name, check_value
 from limpetshore.errors import TicketError
-from limpetshore.policies import (
+from limpetshore.state.policies import (
     EVERYONE,
     MAX_POLICY_BYTES,
     TICKETS_REMEMBERED,
--- a/limpetshore/surfaces.py
+++ b/limpetshore/surfaces.py
@@ -3,19 +3,19 @@
 from abc import ABC, abstractmethod
 from typing import Protocol
 
-from limpetshore.backends import Announcement
-from limpetshore.dialects import (
+from limpetshore.metrics import Metrics
+from limpetshore.protocol.dialects import (
     BackendDialect,
     CallerDialect,
     OwnBackendDialect,
     OwnCallerDialect,
 )
-from limpetshore.guard import Guard
-from limpetshore.metrics import Metrics
-from limpetshore.policies import Policy
-from limpetshore.serving import CallServer
+from limpetshore.routing.guard import Guard
 from limpetshore.settings import NodeSettings, parse_address
-from limpetshore.store import HttpObjectStore, ObjectStore
+from limpetshore.state.backends import Announcement
+from limpetshore.state.policies import Policy
+from limpetshore.state.store import HttpObjectStore, ObjectStore
+from limpetshore.transport.serving import CallServer
 
 
 class ServedNode(Protocol):
--- /dev/null
+++ b/limpetshore/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Speak HTTP, as a client and as a server."""
--- a/limpetshore/httpserver.py
+++ b/limpetshore/transport/httpserver.py
@@ -10,7 +10,7 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from limpetshore.httpclient import UNACKED_TIMEOUT_MS, Address
+from limpetshore.transport.httpclient import UNACKED_TIMEOUT_MS, Address
 
 MAX_HEADER_BYTES = 32768
 HEADER_TIMEOUT_S = 10.0
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -10,8 +10,8 @@
 import httpcore
 
 from limpetshore import clock
-from limpetshore.httpserver import HttpServer
 from limpetshore.settings import parse_address
+from limpetshore.transport.httpserver import HttpServer
 from standins.backend_server import BackendApp
 from standins.fault_proxy import FaultProxy
 from standins.load_sender import send_load
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from limpetshore.httpclient import HttpPool
+from limpetshore.transport.httpclient import HttpPool
 
 
 class BackendApp:
--- a/standins/load_sender.py
+++ b/standins/load_sender.py
@@ -7,8 +7,8 @@
 import anyio
 
 from limpetshore.errors import ConnectError, TransportError
-from limpetshore.httpclient import HttpPool
 from limpetshore.settings import parse_address
+from limpetshore.transport.httpclient import HttpPool
 
 
 class Tally:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,9 +1,9 @@
 """Build test data."""
 
-from limpetshore.members import Status
-from limpetshore.messages import NodeState
-from limpetshore.policies import Customer, Policy, Route, hash_key
-from limpetshore.tickets import Ticket
+from limpetshore.protocol.messages import NodeState
+from limpetshore.state.members import Status
+from limpetshore.state.policies import Customer, Policy, Route, hash_key
+from limpetshore.state.tickets import Ticket
 
 KEY = 'ls_test-key'
 LAYOUT = [
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -6,25 +6,25 @@
 import msgspec
 
 from limpetshore import clock
+from limpetshore.coordination.fleet import FleetState, PolicyFollower
+from limpetshore.coordination.gossip import Gossip
+from limpetshore.coordination.granting import FleetGranter
+from limpetshore.coordination.operators import apply
+from limpetshore.coordination.purses import Purses
+from limpetshore.coordination.shards import ShardKeeper
+from limpetshore.coordination.watching import StoreLink
 from limpetshore.errors import (
     PeerError,
     RefusedError,
     StoreConflictError,
     StoreUnavailableError,
 )
-from limpetshore.fleet import FleetState, PolicyFollower
-from limpetshore.gossip import Gossip
-from limpetshore.granting import FleetGranter
-from limpetshore.members import MemberTable, Status
-from limpetshore.messages import NodeState, encode
 from limpetshore.metrics import Metrics
-from limpetshore.operators import apply
-from limpetshore.purses import Purses
+from limpetshore.protocol.messages import NodeState, encode
 from limpetshore.settings import FleetSection
-from limpetshore.shards import ShardKeeper
-from limpetshore.standing import Standing
-from limpetshore.store import Changes, ObjectStore, StoredObject
-from limpetshore.watching import StoreLink
+from limpetshore.state.members import MemberTable, Status
+from limpetshore.state.standing import Standing
+from limpetshore.state.store import Changes, ObjectStore, StoredObject
 from tests.reference import ReferenceBucket
 
 DELAY_S = 0.003
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -7,7 +7,7 @@
 
 from limpetshore.metrics import Metrics
 from limpetshore.settings import parse_address
-from limpetshore.store import HttpStoreClient
+from limpetshore.state.store import HttpStoreClient
 
 PAGE = 2
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,10 +5,10 @@
 import anyio
 import pytest
 
-from limpetshore.admission import Admission
+from limpetshore.decisions.admission import Admission
+from limpetshore.decisions.limits import ConcurrencyLimit
 from limpetshore.errors import RefusedError
-from limpetshore.limits import ConcurrencyLimit
-from limpetshore.policies import Importance
+from limpetshore.importance import Importance
 from limpetshore.verdicts import Reason, Verdict
 from tests.paused import run_paused
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from limpetshore.attempts import Attempts, EnteredCall
-from limpetshore.budgets import RetryBudget, RetryTokens
-from limpetshore.callers import Origin
-from limpetshore.calls import CallContext
-from limpetshore.dialects import RequestName
-from limpetshore.policies import PolicyIndex
+from limpetshore.decisions.budgets import RetryBudget, RetryTokens
+from limpetshore.protocol.dialects import RequestName
+from limpetshore.routing.attempts import Attempts, EnteredCall
+from limpetshore.routing.callers import Origin
+from limpetshore.routing.calls import CallContext
+from limpetshore.state.policies import PolicyIndex
 from tests.builders import build_policy
 
 
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -5,9 +5,9 @@
 import pytest
 
 from limpetshore import clock
-from limpetshore.balancing import Balancer
-from limpetshore.members import MemberTable, Status
-from limpetshore.messages import AnswerMeta
+from limpetshore.decisions.balancing import Balancer
+from limpetshore.protocol.messages import AnswerMeta
+from limpetshore.state.members import MemberTable, Status
 from limpetshore.verdicts import Reason
 from tests.builders import build_node_state
 
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from limpetshore.budgets import RetryBudget, RetryTokens, is_retry_safe
+from limpetshore.decisions.budgets import (
+    RetryBudget,
+    RetryTokens,
+    is_retry_safe,
+)
 from limpetshore.verdicts import RETRIED_REASONS, Reason
 
 
--- a/tests/test_conserved.py
+++ b/tests/test_conserved.py
@@ -8,14 +8,14 @@
 from hypothesis import strategies as st
 
 from limpetshore import clock
-from limpetshore.borrowing import Borrower, Lender
-from limpetshore.conserved import ConservedBudgets, find_owners
+from limpetshore.coordination.borrowing import Borrower, Lender
+from limpetshore.decisions.conserved import ConservedBudgets, find_owners
 from limpetshore.errors import RefusedError
-from limpetshore.members import MemberTable, Status
-from limpetshore.messages import LendRequest
 from limpetshore.platform.configuration import build_limit
 from limpetshore.platform.wire import CustomerEntry
-from limpetshore.policies import Customer
+from limpetshore.protocol.messages import LendRequest
+from limpetshore.state.members import MemberTable, Status
+from limpetshore.state.policies import Customer
 from limpetshore.verdicts import Reason
 from tests.builders import build_node_state
 from tests.paused import run_paused
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -3,15 +3,19 @@
 import anyio
 import pytest
 
-from limpetshore.control import ControlClient, ControlHandler, ControlServer
 from limpetshore.errors import PeerError
-from limpetshore.messages import (
+from limpetshore.metrics import Metrics
+from limpetshore.protocol.control import (
+    ControlClient,
+    ControlHandler,
+    ControlServer,
+)
+from limpetshore.protocol.messages import (
     Document,
     FetchRequest,
     GrantReply,
     GrantRequest,
 )
-from limpetshore.metrics import Metrics
 
 ADDRESS = '127.0.9.1:7002'
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,13 +3,13 @@
 import anyio
 
 from limpetshore import clock
-from limpetshore.fleet import POLICY, FleetState
-from limpetshore.members import MemberTable
-from limpetshore.messages import AnswerMeta, Document
+from limpetshore.coordination.fleet import POLICY, FleetState
+from limpetshore.coordination.shards import ShardKeeper
 from limpetshore.metrics import Metrics
-from limpetshore.policies import encode_policy
-from limpetshore.shards import ShardKeeper
-from limpetshore.standing import Standing
+from limpetshore.protocol.messages import AnswerMeta, Document
+from limpetshore.state.members import MemberTable
+from limpetshore.state.policies import encode_policy
+from limpetshore.state.standing import Standing
 from tests.builders import build_node_state, build_policy
 from tests.paused import run_paused
 
--- a/tests/test_latencies.py
+++ b/tests/test_latencies.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from limpetshore.latencies import LatencyEstimate
+from limpetshore.decisions.latencies import LatencyEstimate
 from tests.paused import run_paused
 
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from limpetshore.limits import AnnouncedLimit, ConcurrencyLimit
+from limpetshore.decisions.limits import AnnouncedLimit, ConcurrencyLimit
 from tests.paused import run_paused
 
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings, strategies
 
 from limpetshore import clock
-from limpetshore.members import MemberTable, Status
+from limpetshore.state.members import MemberTable, Status
 from tests.builders import build_node_state as build_state
 
 
--- a/tests/test_memory_fleet.py
+++ b/tests/test_memory_fleet.py
@@ -4,7 +4,7 @@
 import pytest
 
 from limpetshore import clock
-from limpetshore.fleet import POLICY
+from limpetshore.coordination.fleet import POLICY
 from tests.builders import build_customer, build_ticket
 from tests.memory_fleet import MemoryFleet
 from tests.paused import run_paused
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,15 +12,12 @@
 from hypothesis import strategies as st
 
 from limpetshore import clock
-from limpetshore.backends import LocalBackend
-from limpetshore.dialects import ServerCall
+from limpetshore.coordination.fleet import POLICY
 from limpetshore.errors import (
     StoreConflictError,
     StoreError,
     StoreHistoryError,
 )
-from limpetshore.fleet import POLICY
-from limpetshore.httpclient import ResponseHead
 from limpetshore.metrics import Metrics
 from limpetshore.platform import wire
 from limpetshore.platform.configuration import (
@@ -35,8 +32,11 @@
 )
 from limpetshore.platform.heartbeats import HeartbeatApp
 from limpetshore.platform.store import PlatformStore
-from limpetshore.policies import PolicyIndex, decode_policy
+from limpetshore.protocol.dialects import ServerCall
 from limpetshore.settings import check_settings
+from limpetshore.state.backends import LocalBackend
+from limpetshore.state.policies import PolicyIndex, decode_policy
+from limpetshore.transport.httpclient import ResponseHead
 from limpetshore.verdicts import Reason, Refusal, Verdict
 from tests.platform_store import PlatformStoreClient, build_response
 
--- a/tests/test_purses.py
+++ b/tests/test_purses.py
@@ -6,10 +6,10 @@
 import pytest
 
 from limpetshore import clock
-from limpetshore.buckets import SharedBucket
+from limpetshore.coordination.purses import Granter, Purses
+from limpetshore.decisions.buckets import SharedBucket
 from limpetshore.errors import RefusedError
-from limpetshore.messages import TokenGrant
-from limpetshore.purses import Granter, Purses
+from limpetshore.protocol.messages import TokenGrant
 from limpetshore.verdicts import Reason
 from tests.paused import run_paused
 from tests.reference import ReferenceBucket
--- a/tests/test_roots.py
+++ b/tests/test_roots.py
@@ -6,11 +6,11 @@
 import pytest
 
 from limpetshore import clock
-from limpetshore.admission import Admission
+from limpetshore.decisions.admission import Admission
+from limpetshore.decisions.limits import AnnouncedLimit
+from limpetshore.decisions.roots import MOST_PRECEDENCE, find_precedence
 from limpetshore.errors import RefusedError
-from limpetshore.limits import AnnouncedLimit
-from limpetshore.policies import Importance
-from limpetshore.roots import MOST_PRECEDENCE, find_precedence
+from limpetshore.importance import Importance
 from tests.paused import run_paused
 
 SLOTS = 24
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -4,8 +4,8 @@
 
 import anyio
 
-from limpetshore.httpclient import Address
-from limpetshore.serving import CallApp, CallServer
+from limpetshore.transport.httpclient import Address
+from limpetshore.transport.serving import CallApp, CallServer
 
 ADDRESS = Address('127.0.9.7', 7411)
 SLOW = '/slow'
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -4,7 +4,11 @@
 
 import anyio
 
-from limpetshore.shedding import EdgeShedding, RankedTraffic, TurnedAway
+from limpetshore.decisions.shedding import (
+    EdgeShedding,
+    RankedTraffic,
+    TurnedAway,
+)
 from tests.paused import run_paused
 
 LOW, HIGH = 1, 3
--- a/tests/test_splits.py
+++ b/tests/test_splits.py
@@ -3,13 +3,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from limpetshore.policies import (
-    Importance,
+from limpetshore.decisions.splits import Splitter
+from limpetshore.importance import Importance
+from limpetshore.state.policies import (
     PolicyIndex,
     RouteMatch,
     SplitPart,
 )
-from limpetshore.splits import Splitter
 from tests.builders import build_policy, build_route
 
 
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -4,13 +4,13 @@
 from hypothesis import given, settings, strategies
 
 from limpetshore.errors import TicketError
-from limpetshore.policies import (
+from limpetshore.state.policies import (
     PolicyIndex,
     decode_policy,
     encode_policy,
     hash_key,
 )
-from limpetshore.tickets import apply_ticket, check_ticket
+from limpetshore.state.tickets import apply_ticket, check_ticket
 from tests.builders import (
     KEY,
     build_customer,
