Take no token of a service for a request without retries

Cause, by reading: pay_retry took the service's token before it looked at the budget of the request, so that requests that may not be tried again used up what others could have been. Ruled out: nothing else spends these tokens. Change: the budget is looked at first.

--- a/limpetshore/routing/attempts.py
+++ b/limpetshore/routing/attempts.py
@@ -149,13 +149,15 @@
 
     def pay_retry(self, reason: Reason) -> bool:
         """Take a retry from both budgets; return False if one is empty."""
-        metrics = self.state.metrics
-        if not self.state.retry_tokens[self.call.service].spend():
-            metrics.retries_withheld.labels('service_tokens').inc()
+        withheld = self.state.metrics.retries_withheld
+        budget = self.call.origin.budget
+        if not budget.left:
+            withheld.labels('request_budget').inc()
             return False
-        if not self.call.origin.budget.spend():
-            metrics.retries_withheld.labels('request_budget').inc()
+        if not self.state.retry_tokens[self.call.service].spend():
+            withheld.labels('service_tokens').inc()
             return False
+        budget.spend()
         self.count_retry(reason)
         return True
 
