--- a/limpetshore/routing/peers.py
+++ b/limpetshore/routing/peers.py
@@ -112,8 +112,8 @@
             await self.carry(outbound, sender)
             return
         async with anyio.create_task_group() as tasks:
-            whole = inbound._replace(tasks=tasks)
-            await self.carry(outbound._replace(inbound=whole), sender)
+            streamed = inbound._replace(tasks=tasks)
+            await self.carry(outbound._replace(inbound=streamed), sender)
             tasks.cancel_scope.cancel()
 
     async def carry(
