Read the store with a few nodes of the fleet, join through a roster, return shares

Change: watchers are a few of the fleet by rendezvous rank, the next take over by the age of the last read, the others hear of it on answers or from a relay. A start reads one roster (stale) and learns the rest from a member. Shares of nodes that left or died are divided among the living after a delay, if most members are alive; a node that was cut off starts empty. Small budgets have two owners.

--- a/limpetshore/coordination/borrowing.py
+++ b/limpetshore/coordination/borrowing.py
@@ -13,7 +13,7 @@
 from limpetshore.verdicts import Reason
 
 MAX_LENDERS_PER_ROUND = 3
-MIN_REQUESTED_TOKENS = 2
+MIN_REQUESTED_TOKENS = 1
 DEMAND_WINDOW_S = 0.25
 EMPTY_BACKOFF_S = 0.1  # pause after a round in which no node lent tokens
 OWN_TOKEN_POLL_S = 0.02  # own tokens accrue while borrowing is paused
--- a/limpetshore/coordination/fleet.py
+++ b/limpetshore/coordination/fleet.py
@@ -7,6 +7,7 @@
 
 from limpetshore import clock
 from limpetshore.coordination.local_shards import LocalShards
+from limpetshore.coordination.ranking import FleetRanking
 from limpetshore.metrics import Metrics
 from limpetshore.protocol.messages import (
     MAX_STORE_AGE_S,
@@ -22,10 +23,10 @@
 
 logger = Logger(__name__)
 
-# Kinds of objects in the store, and the name of the only policy and ledger.
+# Kinds of objects in the store, and the name of the only one of each.
 POLICY_KIND = 'policy'
 LEDGER_KIND = 'ledger'
-NODE_KIND = 'nodes'
+ROSTER_KIND = 'roster'
 CURRENT_NAME = 'current'
 MAX_CHANGES_PER_EXCHANGE = 8
 SENDS_PER_CHANGE = 4  # number of exchanges that carry each change
@@ -57,6 +58,7 @@
         self.documents: dict[str, Document] = {}
         self.policy: PolicyIndex | None = None
         self.policy_listeners: list[PolicyListener] = []
+        self.ranking = FleetRanking(table)
         self.sends_left: dict[str, int] = {}
 
     def version(self, name: str) -> int:
--- a/limpetshore/coordination/gossip.py
+++ b/limpetshore/coordination/gossip.py
@@ -9,6 +9,7 @@
 from limpetshore import clock
 from limpetshore.coordination.fleet import LEDGER_KIND, POLICY_KIND, FleetState
 from limpetshore.decisions.conserved_budgets import ConservedBudgets
+from limpetshore.decisions.watching import find_parent, list_children
 from limpetshore.errors import PeerError
 from limpetshore.protocol.control import ControlClient, ControlHandler
 from limpetshore.protocol.messages import (
@@ -29,6 +30,10 @@
 
 EXCHANGE_TIMEOUT_S = 0.8
 FETCH_TIMEOUT_S = 2.0
+JOIN_TIMEOUT_S = 0.6
+# A node asks its relay once the last read of the store is so old.
+REFRESH_AGE_S = 2.2
+REFRESH_PERIOD_S = 0.3
 JITTER_SHARE = 0.3
 FULL_EXCHANGE_DELAY_S = 3  # shorter differences are changes in transit
 PUSH_FANOUT = 3
@@ -50,6 +55,8 @@
         self.client = client
         self.settings = settings
         self.rng = rng
+        self.ranking = fleet.ranking
+        self.peer_answered_at = float('-inf')
         self.members_differ_since: float | None = None
         self.peers: list[str] = []
         self.peers_version = -1
@@ -70,6 +77,32 @@
             jitter = self.rng.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
             await anyio.sleep(period_s * jitter)
 
+    @property
+    def peer_age_s(self) -> float:
+        """Return the seconds since another node was last heard of."""
+        return clock.now() - self.peer_answered_at
+
+    async def run_refreshes(self) -> None:
+        """Ask a relay for its word of the store when that is old here.
+
+        Most nodes hear it from the answers to their calls before that.
+        """
+        while True:
+            if self.fleet.fencing.store_age_s > REFRESH_AGE_S:
+                await self.refresh()
+            jitter = self.rng.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
+            await anyio.sleep(REFRESH_PERIOD_S * jitter)
+
+    async def refresh(self) -> None:
+        """Exchange with the parent among the relays, or with a watcher."""
+        watchers = self.settings.watchers
+        parent = self.ranking.find(find_parent(self.ranking.rank(), watchers))
+        if parent is not None and await self.exchange_with(parent.control):
+            return
+        watcher = self.ranking.find(self.rng.randrange(watchers))
+        if watcher is not None and watcher != parent:
+            await self.exchange_with(watcher.control)
+
     async def run_pushes(self) -> None:
         """Exchange with some peers at each requested push until cancelled.
 
@@ -80,10 +113,20 @@
             self.push_requested = anyio.Event()
             while self.newer_peers:
                 await self.exchange_with(self.newer_peers.pop())
-            peers = self.find_peers()
-            chosen = self.rng.sample(peers, min(PUSH_FANOUT, len(peers)))
-            for address in chosen:
-                await self.exchange_with(address)
+            async with anyio.create_task_group() as tasks:
+                for address in self.choose_push_targets():
+                    tasks.start_soon(self.exchange_with, address)
+
+    def choose_push_targets(self) -> set[str]:
+        """Return the peers to push to: own relay children and some others."""
+        peers = self.find_peers()
+        chosen = set(self.rng.sample(peers, min(PUSH_FANOUT, len(peers))))
+        rank = self.ranking.rank()
+        for child_rank in list_children(rank, self.settings.watchers):
+            child = self.ranking.find(child_rank)
+            if child is not None:
+                chosen.add(child.control)
+        return chosen
 
     def find_peers(self) -> list[str]:
         """Return the addresses of the peers, chosen when members change."""
@@ -144,6 +187,7 @@
             logger.debug('exchange with {0} failed: {1}', address, error)
             self.suspect(peer)
             return False
+        self.peer_answered_at = clock.now()
         await self.process_reply(reply, address)
         self.fleet.confirm(reply.digest, clock.now() - sent_at)
         return True
@@ -174,36 +218,65 @@
             self.members_differ_since = clock.now()
         return clock.now() - self.members_differ_since
 
-    async def fetch_members(self) -> None:
-        """Run a full exchange with the first peer that answers.
+    async def fetch_members(self) -> bool:
+        """Ask a few nodes for all members; return whether one answered.
 
-        The node records in the store lack changes made after they were
-        written.
+        The first answer is enough.
         """
-        for address in self.find_peers()[:MAX_INITIAL_EXCHANGES]:
-            if await self.exchange_full(address):
-                return
-
-    async def exchange_full(self, address: str) -> bool:
+        answered = False
+
+        async def ask(address: str) -> None:  # noqa: WPS430
+            nonlocal answered  # noqa: WPS420
+            if await self.exchange_full(address, JOIN_TIMEOUT_S):
+                answered = True
+                tasks.cancel_scope.cancel()
+
+        addresses = self.list_known_addresses()
+        count = min(MAX_INITIAL_EXCHANGES, len(addresses))
+        async with anyio.create_task_group() as tasks:
+            for address in self.rng.sample(addresses, count):
+                tasks.start_soon(ask, address)
+        return answered
+
+    def list_known_addresses(self) -> list[str]:
+        """Return the addresses of the live members, or else of the seeds."""
+        own = self.fleet.table.own
+        found = [
+            state.control
+            for state in self.fleet.table.states()
+            if state.status in ALIVE and state.name != own.name
+        ]
+        return found or [
+            seed for seed in self.settings.seeds if seed != own.control
+        ]
+
+    async def exchange_full(
+        self, address: str, timeout_s: float = FETCH_TIMEOUT_S
+    ) -> bool:
         """Exchange whole member tables; return whether the peer answered."""
         request = GossipMessage(
             self.fleet.digest(),
             self.fleet.table.states(),
             wants_full_state=True,
         )
+        sent_at = clock.now()
         try:
             reply = await self.client.call(
                 address,
                 'Exchange',
                 request,
                 GossipMessage,
-                FETCH_TIMEOUT_S,
+                timeout_s,
             )
         except PeerError as error:
             logger.debug('full exchange with {0} failed: {1}', address, error)
             return False
+        waited_s = clock.now() - sent_at
+        self.peer_answered_at = clock.now()
         for state in reply.changes:
             self.fleet.merge(state)
+        await self.fetch_newer(address, reply.digest)
+        self.fleet.confirm(reply.digest, waited_s)
         return True
 
     async def fetch_newer(self, address: str, digest: Digest) -> None:
@@ -267,6 +340,7 @@
 
     async def exchange(self, request: GossipMessage) -> GossipMessage:
         """Merge the changes of a peer and answer with those of this node."""
+        self.peer_answered_at = clock.now()
         for state in request.changes:
             self.fleet.merge(state)
         digest = request.digest
--- a/limpetshore/decisions/conserved_budgets.py
+++ b/limpetshore/decisions/conserved_budgets.py
@@ -8,23 +8,35 @@
 loses tokens.
 """
 
+import heapq
+import math
 import random
-from typing import NamedTuple
+from collections.abc import Container, Iterable
+from typing import Any, NamedTuple
 
 from limpetshore import clock
 from limpetshore.protocol.messages import LendReply, LendRequest, NodeState
-from limpetshore.state.members import MemberTable, Status, rank_by_rendezvous
+from limpetshore.state.members import (
+    MemberTable,
+    Status,
+    hash_for_rendezvous,
+)
 from limpetshore.state.policies import Customer
 
-# Small budgets get fewer owners, so that each share has at least this burst.
+# Small budgets get fewer owners, so that each share has at least this burst,
+# but two where possible: the other one lends while one is unreachable.
 MIN_TOKENS_PER_OWNER = 4
-LENDER_RESERVE_TOKENS = 1
+MIN_OWNERS = 2
 MAX_LENT_TOKENS = 64
 # Tokens borrowed by a node that owns no share are dropped after this time.
 BORROWED_RETENTION_S = 1.0
-# A node keeps its share for this time after it has left the fleet, since it
-# may still admit requests that arrived before.
-LEFT_OWNER_RETENTION_S = 10.0
+# A node that leaves gives up its share at once, and a dead one refused keys for
+# want of a store confirmation before it was declared dead. The others wait for
+# this time before they share that rate, as they do not notice simultaneously.
+TAKEOVER_DELAY_S = 1.0
+# A node that was gone accrues no tokens for this time, in which the others
+# learn that it is back and return its share.
+REJOIN_DELAY_S = 2.0
 
 
 class BudgetShare(NamedTuple):
@@ -34,14 +46,47 @@
     burst: float
 
 
+class Owners(NamedTuple):
+    """Hold the nodes that share a budget.
+
+    `lowest_hash` is the lowest rendezvous hash among them, None if all nodes
+    share the budget.
+    """
+
+    names: frozenset[str]
+    lowest_hash: int | None
+
+    def are_affected(
+        self, customer: str, added: Iterable[str], removed: Iterable[str]
+    ) -> bool:
+        """Tell whether a change of the members may change the owners."""
+        if self.lowest_hash is None or not self.names.isdisjoint(removed):
+            return True
+        return any(
+            hash_for_rendezvous(customer, name) > self.lowest_hash
+            for name in added
+        )
+
+
+NO_OWNERS = Owners(frozenset(), None)
+
+
 class OwnedBucket:
     """Hold the tokens of one customer at one node."""
 
-    def __init__(self, share: BudgetShare) -> None:
-        """Start empty, as an earlier incarnation may have spent the burst."""
+    def __init__(self, share: BudgetShare, accrues_from: float) -> None:
+        """Start empty, as an earlier incarnation may have spent the burst.
+
+        No tokens accrue before the local time `accrues_from`.
+        """
         self.share = share
         self.tokens: float = 0
-        self.updated = clock.now()
+        self.updated = max(accrues_from, clock.now())
+
+    def clear(self, accrues_from: float) -> None:
+        """Drop all tokens; none accrue before `accrues_from`."""
+        self.tokens = 0
+        self.updated = accrues_from
 
     def refill(self) -> None:
         """Add the tokens accrued since the last update.
@@ -49,7 +94,9 @@
         A node without a share accrues none; its borrowed tokens expire.
         """
         now = clock.now()
-        elapsed_s = max(0, now - self.updated)
+        elapsed_s = now - self.updated
+        if elapsed_s <= 0:
+            return
         if self.share.rate:
             accrued = self.share.rate * elapsed_s
             self.tokens = min(self.share.burst, self.tokens + accrued)
@@ -76,11 +123,11 @@
     def lend(self, wanted: int) -> int:
         """Subtract tokens for another node and return their number.
 
-        Lend about half of the tokens above the reserve, rounded up.
+        Lend half of the tokens, rounded up to whole ones.
         """
         self.refill()
-        spare = (self.tokens - LENDER_RESERVE_TOKENS) / 2
-        lent = max(0, min(wanted, int(spare) + (spare > 0), MAX_LENT_TOKENS))
+        lendable = min(math.ceil(self.tokens / 2), int(self.tokens))
+        lent = max(0, min(wanted, lendable, MAX_LENT_TOKENS))
         self.tokens -= lent
         return lent
 
@@ -88,7 +135,7 @@
         """Add borrowed or refunded tokens; any above the share are lost."""
         self.refill()
         self.tokens = min(max(self.share.burst, 1), self.tokens + count)
-        self.updated = clock.now()
+        self.updated = max(self.updated, clock.now())
 
     def time_to_token(self) -> float:
         """Return the seconds until a token accrues, 0 without a share."""
@@ -106,55 +153,83 @@
         self.rng = rng
         self.customers: dict[str, Customer] = {}
         self.buckets: dict[str, OwnedBucket] = {}
-        self.other_owners: dict[str, list[str]] = {}
+        self.owners: dict[str, Owners] = {}
         self.member_names: list[str] = []
+        self.accrues_from = clock.now()
 
     def update_customers(self, customers: dict[str, Customer]) -> None:
         """Apply the rates and bursts of a new policy."""
+        self.buckets = select_keys(self.buckets, customers)
+        self.owners = select_keys(self.owners, customers)
+        for name, customer in customers.items():
+            known = self.customers.get(name)
+            if known is None or known.burst != customer.burst:
+                self.owners[name] = find_owners(
+                    name, customer.burst, self.member_names
+                )
+            self.update_share(name, customer)
         self.customers = customers
-        self.recompute_shares()
 
     def update_owners(self) -> None:
         """Recompute the shares if the set of owners has changed.
 
-        Must not be called before all member records were read, since a node
-        that knows no other member would own every budget alone. Dead nodes
-        keep their share until they leave the fleet, and nodes that leave keep
-        it while they may still admit requests that arrived before.
+        Must not be called before all members are known, since a node that
+        knows no other member would own every budget alone. Nodes that leave or
+        die keep their share while they may still admit requests.
         """
+        takes_over = self.table.sees_majority()
         names = sorted(
             state.name
             for state in self.table.list_latest_by_address()
-            if self.retains_share(state)
+            if self.retains_share(state, takes_over=takes_over)
         )
         if names != self.member_names:
-            self.member_names = names
-            self.recompute_shares()
-
-    def retains_share(self, state: NodeState) -> bool:
-        """Return whether a node may still spend its share."""
-        since = self.table.find_status_start(state.name, Status.LEFT)
-        return since is None or clock.now() < since + LEFT_OWNER_RETENTION_S
-
-    def recompute_shares(self) -> None:
-        """Recompute the owners of every budget and the share of this node."""
-        own = self.table.own_name
-        self.buckets = {
-            name: bucket
-            for name, bucket in self.buckets.items()
-            if name in self.customers
-        }
+            self.change_members(names)
+
+    def change_members(self, names: list[str]) -> None:
+        """Recompute the owners of each budget that the change concerns."""
+        removed = set(self.member_names).difference(names)
+        added = set(names).difference(self.member_names)
+        self.member_names = names
         for name, customer in self.customers.items():
-            owners = find_owners(name, customer.burst, self.member_names)
-            self.other_owners[name] = [
-                owner for owner in owners if owner != own
-            ]
-            share = compute_share(customer, len(owners), is_owner=own in owners)
-            bucket = self.buckets.get(name)
-            if bucket is None:
-                self.buckets[name] = OwnedBucket(share)
-            elif bucket.share != share:
-                bucket.change(share)
+            if self.owners[name].are_affected(name, added, removed):
+                self.owners[name] = find_owners(name, customer.burst, names)
+            self.update_share(name, customer)
+
+    def retains_share(self, state: NodeState, *, takes_over: bool) -> bool:
+        """Return whether a node may still spend its share.
+
+        The share of a dead node is taken over only by nodes that see most
+        members alive: on the other side of a network partition, the nodes that
+        are dead from here go on spending theirs.
+        """
+        find_start = self.table.find_status_start
+        left_since = find_start(state.name, Status.LEFT)
+        if left_since is not None:
+            is_own = state.name == self.table.own_name
+            return not is_own and clock.now() < left_since + TAKEOVER_DELAY_S
+        dead_since = find_start(state.name, Status.DEAD)
+        if dead_since is None or not takes_over:
+            return True
+        return clock.now() < dead_since + TAKEOVER_DELAY_S
+
+    def clear(self) -> None:
+        """Drop all tokens, as other nodes may have taken over the shares."""
+        self.accrues_from = clock.now() + REJOIN_DELAY_S
+        for bucket in self.buckets.values():
+            bucket.clear(self.accrues_from)
+
+    def update_share(self, name: str, customer: Customer) -> None:
+        """Apply the share of this node in one budget."""
+        owners = self.owners[name].names
+        share = compute_share(
+            customer, len(owners), is_owner=self.table.own_name in owners
+        )
+        bucket = self.buckets.get(name)
+        if bucket is None:
+            self.buckets[name] = OwnedBucket(share, self.accrues_from)
+        elif bucket.share != share:
+            bucket.change(share)
 
     def take_token(self, customer: str) -> bool:
         """Spend a token of this node; return False if there is none."""
@@ -175,10 +250,11 @@
 
     def choose_lenders(self, customer: str, count: int) -> list[str]:
         """Return up to `count` reachable owners in random order."""
+        found = self.owners.get(customer, NO_OWNERS)
         owners = [
             name
-            for name in self.other_owners.get(customer, ())
-            if self.is_reachable(name)
+            for name in found.names
+            if name != self.table.own_name and self.is_reachable(name)
         ]
         return self.rng.sample(owners, min(count, len(owners)))
 
@@ -193,18 +269,28 @@
         return 1 / record.rate if record else 0
 
 
-def find_owners(customer: str, burst: int, names: list[str]) -> list[str]:
+def find_owners(customer: str, burst: int, names: list[str]) -> Owners:
     """Return the nodes that share a budget, by rendezvous hashing.
 
     All nodes share a large budget, few nodes a small one.
 
-    >>> len(find_owners('harbour', 8, ['a', 'b', 'c']))
-    2
+    >>> len(find_owners('harbour', 12, ['a', 'b', 'c', 'd']).names)
+    3
+    >>> len(find_owners('harbour', 1, ['a', 'b', 'c', 'd']).names)
+    1
     """
-    count = max(1, burst // MIN_TOKENS_PER_OWNER)
+    count = max(min(MIN_OWNERS, burst), burst // MIN_TOKENS_PER_OWNER)
     if count >= len(names):
-        return names
-    return rank_by_rendezvous(customer, names)[:count]
+        return Owners(frozenset(names), None)
+    chosen = heapq.nlargest(
+        count, ((hash_for_rendezvous(customer, name), name) for name in names)
+    )
+    return Owners(frozenset(name for _, name in chosen), chosen[-1][0])
+
+
+def select_keys(records: dict[str, Any], kept: Container[str]) -> dict:
+    """Return the records whose key is among those kept."""
+    return {key: record for key, record in records.items() if key in kept}
 
 
 def compute_share(
--- /dev/null
+++ b/limpetshore/decisions/watching.py
@@ -0,0 +1,77 @@
+"""Decide which nodes read the store, and from whom the others hear of it.
+
+The nodes are ranked, alike on each of them. The first few watch the store. The
+others learn the age of the last read from the answers of other nodes; one that
+hears too little asks its parent in a tree of relays.
+"""
+
+from typing import NamedTuple
+
+# Nodes of the next ranks read the store one after the other once its last read
+# is so old. The keys are refused from `fleet.cut_off_s` on.
+TAKEOVER_AGE_S = 3.0
+TAKEOVER_STEP_S = 0.15
+MAX_SUBSTITUTES = 8
+# A node that no other node answers reads the store by itself.
+ISOLATED_AGE_S = 2.5
+# A node of any rank reads the store then, at random within the same time again.
+STALE_AGE_S = 10.0
+RELAY_FANOUT = 8
+
+
+class StoreNews(NamedTuple):
+    """Tell how long ago a node last heard of the store and of other nodes."""
+
+    store_age_s: float
+    peer_age_s: float
+
+
+def must_read_store(
+    rank: int,
+    watchers: int,
+    news: StoreNews,
+    random_share: float,
+) -> bool:
+    """Tell whether a node of this rank reads the store now.
+
+    `random_share` is a random number from 0 to 1.
+
+    >>> must_read_store(0, 2, StoreNews(0, 0), 0.5)
+    True
+    >>> must_read_store(2, 2, StoreNews(2.9, 0), 0.5)
+    False
+    >>> must_read_store(2, 2, StoreNews(3.1, 0), 0.5)
+    True
+    """
+    if rank < watchers:
+        return True
+    substitute = rank - watchers
+    takeover_age_s = TAKEOVER_AGE_S + TAKEOVER_STEP_S * substitute
+    if substitute < MAX_SUBSTITUTES and news.store_age_s > takeover_age_s:
+        return True
+    if min(news) > ISOLATED_AGE_S:
+        return True
+    return news.store_age_s > STALE_AGE_S * (1 + random_share)
+
+
+def find_parent(rank: int, watchers: int) -> int | None:
+    """Return the rank of the node that relays to this one.
+
+    Watchers ask the next one among themselves; a single one asks nobody.
+
+    >>> [find_parent(rank, 2) for rank in (0, 1, 2, 17, 18)]
+    [1, 0, 0, 1, 2]
+    """
+    if rank < watchers:
+        return (rank + 1) % watchers if watchers > 1 else None
+    return (rank - watchers) // RELAY_FANOUT
+
+
+def list_children(rank: int, watchers: int) -> range:
+    """Return the ranks of the nodes to which this one relays.
+
+    >>> list_children(0, 2)
+    range(2, 10)
+    """
+    first = watchers + rank * RELAY_FANOUT
+    return range(first, first + RELAY_FANOUT)
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -14,8 +14,10 @@
 from limpetshore.coordination.borrowing import BorrowingLimiter, RateLimiter
 from limpetshore.coordination.fleet import FleetState, PolicyListener
 from limpetshore.coordination.gossip import Gossip
+from limpetshore.coordination.ledger_repair import LedgerRepair
 from limpetshore.coordination.local_shards import LocalShards
 from limpetshore.coordination.prefetching import PrefetchingLimiter
+from limpetshore.coordination.roster_keeper import RosterKeeper
 from limpetshore.coordination.store_sync import StoreSync
 from limpetshore.coordination.token_clients import (
     FleetGrantClient,
@@ -31,7 +33,11 @@
 from limpetshore.routing.guard import Guard
 from limpetshore.routing.ingress import Ingress
 from limpetshore.routing.peer_calls import PeerApp
-from limpetshore.settings import NodeSettings, parse_address
+from limpetshore.settings import (
+    GRANTED_BUDGETS,
+    NodeSettings,
+    parse_address,
+)
 from limpetshore.state.fencing import FencingState
 from limpetshore.state.members import MemberTable, Status
 from limpetshore.state.policies import PolicyIndex
@@ -44,7 +50,6 @@
 JOIN_POLL_S = 0.05
 # Part of `call.graceful_s` reserved for closing servers and clients.
 EXIT_MARGIN_S = 0.6
-GRANTED = 'granted'
 LEAVE_POLL_S = 0.05
 GC_THRESHOLDS = (20_000, 50, 100)
 
@@ -101,11 +106,13 @@
             settings.store.watch_s,
             self.rng,
         )
+        self.ledger_repair = LedgerRepair(
+            self.store, self.fleet, self.gossip, fleet
+        )
         self.build_ingress()
         self.build_servers()
         self.fleet.policy_listeners.append(self)
         self.seen_members_version = -1
-        self.recorded_instance: str | None = None
 
     def build_ingress(self) -> None:
         """Build the ingress and the components that it uses."""
@@ -118,6 +125,7 @@
         )
         self.budgets = ConservedBudgets(self.table, self.rng)
         self.gossip.budgets = self.budgets
+        self.fencing.reconnect_callbacks.append(self.budgets.clear)
         self.prefetching_limiter = PrefetchingLimiter(
             FleetGrantClient(self.fleet, self.client),
             self.tasks,
@@ -156,10 +164,15 @@
             self.gossip.newer_peers.append(node.control)
             self.gossip.request_push()
 
+    @property
+    def grants_budgets(self) -> bool:
+        """Tell whether holders of shards grant tokens to the other nodes."""
+        return self.settings.fleet.budgets == GRANTED_BUDGETS
+
     def choose_rate_limiter(self) -> RateLimiter:
         """Return the rate limiter that `fleet.budgets` selects."""
         fleet = self.settings.fleet
-        if fleet.budgets == GRANTED:
+        if self.grants_budgets:
             return self.prefetching_limiter
         return BorrowingLimiter(
             self.budgets,
@@ -232,7 +245,8 @@
             clock.now() + self.settings.call.graceful_s - EXIT_MARGIN_S
         )
         self.announce_leaving()
-        await self.store_sync.leave()
+        if self.grants_budgets:
+            await self.ledger_repair.release()
         await anyio.sleep(self.settings.call.drain_notice_s)
         await self.finish_calls(max(0, exit_deadline - clock.now()))
         logger.info('the node has left the fleet')
@@ -253,12 +267,14 @@
             self.store_sync.run,
             self.gossip.run,
             self.gossip.run_pushes,
+            self.gossip.run_refreshes,
+            RosterKeeper(self.store, self.fleet).run,
             self.identify_backend,
             self.run_periodic_updates,
         ):
             self.tasks.start_soon(loop)
-        if self.settings.fleet.budgets == GRANTED:
-            self.tasks.start_soon(self.store_sync.run_ledger_repair)
+        if self.grants_budgets:
+            self.tasks.start_soon(self.ledger_repair.run)
             self.tasks.start_soon(self.prefetching_limiter.return_idle)
         tune_garbage_collector()
 
@@ -269,6 +285,8 @@
         self.callers_server.disable_keep_alive()
         backend = self.guard.backend
         self.table.update_own(Status.LEFT, backend.slots, backend.instance)
+        if not self.table.is_joining:
+            self.budgets.update_owners()
         self.fleet.disseminate(self.table.own_name)
         self.gossip.request_push()
 
@@ -297,9 +315,9 @@
         If the server still has the instance id that the node recorded before,
         the node accepts work without waiting for an announcement.
         """
-        while self.store_sync.is_joining or self.ingress.index is None:
+        while self.table.is_joining or self.ingress.index is None:
             await anyio.sleep(JOIN_POLL_S)
-        previous = self.store_sync.previous_state
+        previous = self.table.previous_own
         if previous is None or self.guard.backend.announcement:
             return
         policy = self.ingress.index.policy
@@ -323,7 +341,7 @@
             if self.seen_members_version != self.table.version:
                 self.seen_members_version = self.table.version
                 self.update_members()
-            if self.store_sync.has_read_members:
+            if not self.table.is_joining:
                 self.budgets.update_owners()
             self.update_gauges()
             await anyio.sleep(UPDATE_PERIOD_S)
@@ -336,10 +354,6 @@
         status = Status.READY if accepts else Status.NOT_READY
         backend = self.guard.backend
         if self.table.update_own(status, backend.slots, backend.instance):
-            is_new = backend.instance != self.recorded_instance
-            if status == Status.READY and is_new:
-                self.recorded_instance = backend.instance
-                self.store_sync.needs_record_update = True
             self.fleet.disseminate(self.table.own_name)
             self.gossip.request_push()
 
--- a/limpetshore/platform/store.py
+++ b/limpetshore/platform/store.py
@@ -42,9 +42,19 @@
         """Send requests with `client`."""
         self.client = client
 
-    async def get(self, kind: str, name: str) -> StoredObject | None:
-        """Return an object, or None if it does not exist."""
-        response = await self.client.call('get', 'GET', build_path(kind, name))
+    async def get(
+        self, kind: str, name: str, *, allow_stale: bool = False
+    ) -> StoredObject | None:
+        """Return an object, or None if it does not exist.
+
+        With `allow_stale`, the answer may be some seconds old.
+        """
+        query = wire.STALE_QUERY if allow_stale else ''
+        response = await self.client.call(
+            'get_stale' if allow_stale else 'get',
+            'GET',
+            build_path(kind, name) + query,
+        )
         if response.status == NOT_FOUND:
             return None
         self.client.raise_for_status(response, 'get')
--- a/limpetshore/platform/wire.py
+++ b/limpetshore/platform/wire.py
@@ -23,6 +23,8 @@
 
 CONFIG_KIND = 'config'
 CONFIG_NAME = 'main'
+# Costs the store a tenth of a current read.
+STALE_QUERY = '?allowStale=1'
 
 
 class Heartbeat(msgspec.Struct):
--- a/limpetshore/settings.py
+++ b/limpetshore/settings.py
@@ -13,6 +13,7 @@
 Section = TypeVar('Section')
 
 MAX_PORT = 65535
+GRANTED_BUDGETS = 'granted'
 
 AddressText = Annotated[
     str,
@@ -116,7 +117,7 @@
         'granted'
     )
     shards_per_customer: Annotated[int, msgspec.Meta(ge=1, le=16)] = 4
-    watchers_per_zone: Annotated[int, msgspec.Meta(ge=1, le=16)] = 2
+    watchers: Annotated[int, msgspec.Meta(ge=1, le=64)] = 3
     id_window_s: Seconds = 600
     clock_skew_s: Seconds = 2
     keys_need_store: bool = False
@@ -255,8 +256,9 @@
         'Maximum number of nodes among which the budget of a customer is '
         'divided'
     ),
-    'fleet.watchers_per_zone': (
-        'Number of nodes per availability zone that watch the store'
+    'fleet.watchers': (
+        'Number of nodes in the fleet that watch the store; others take over '
+        'while these cannot'
     ),
     'fleet.id_window_s': (
         'Seconds for which a request id is remembered to detect repeats'
--- a/limpetshore/state/fencing.py
+++ b/limpetshore/state/fencing.py
@@ -1,5 +1,7 @@
 """Track whether a node is confirmed, cut off or drained."""
 
+from collections.abc import Callable
+
 from limpetshore import clock
 from limpetshore.errors import refuse
 from limpetshore.state.deduplication import find_owner
@@ -34,15 +36,28 @@
         self.is_drained = False
         self.request_id_owners: dict[str, list[str]] = {}
         self.local_service_owners: list[str] = []
+        self.reconnect_callbacks: list[Callable[[], None]] = []
 
     def confirm_store(self, age_s: float = 0) -> None:
         """Record that the store was read `age_s` seconds ago."""
+        self.notice_reconnection()
         self.confirmed_at = max(self.confirmed_at, clock.now() - age_s)
 
     def confirm_majority(self) -> None:
         """Record that more than half of the members are alive now."""
+        self.notice_reconnection()
         self.majority_at = clock.now()
 
+    def notice_reconnection(self) -> None:
+        """Run the callbacks if this node was cut off until now.
+
+        A node that has just started was not cut off.
+        """
+        was_confirmed = max(self.confirmed_at, self.majority_at) > float('-inf')
+        if was_confirmed and self.is_cut_off:
+            for callback in self.reconnect_callbacks:
+                callback()
+
     @property
     def store_age_s(self) -> float:
         """Return the seconds since the last confirmed read of the store."""
--- a/limpetshore/state/members.py
+++ b/limpetshore/state/members.py
@@ -58,6 +58,7 @@
         self.own_name = own.name
         self.records: dict[str, StateRecord] = {}
         self.is_joining = True
+        self.previous_own: NodeState | None = None
         self.name_conflicts = 0
         self.version = 0
         self.members_hash = 0
@@ -114,6 +115,8 @@
         Return True if the table changed.
         """
         own = self.own
+        if self.is_joining:
+            self.remember_previous(received)
         if pick_newer(own, received) == own:
             return False
         if received.incarnation > own.incarnation:
@@ -121,6 +124,14 @@
         self.insert(own._replace(revision=received.revision + 1))
         return True
 
+    def remember_previous(self, received: NodeState) -> None:
+        """Keep the latest state of this node before its restart."""
+        previous = self.previous_own
+        if received.instance and previous:
+            self.previous_own = pick_newer(previous, received)
+        elif received.instance:
+            self.previous_own = received
+
     def raise_incarnation(self, incarnation: int) -> bool:
         """Set a higher own incarnation while joining; return True if set.
 
@@ -221,10 +232,15 @@
     return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(state))
 
 
+def hash_for_rendezvous(key: str, name: str) -> int:
+    """Return the weight of a name for a key in rendezvous hashing."""
+    return xxhash.xxh3_64_intdigest(f'{key}\0{name}'.encode())
+
+
 def rank_by_rendezvous(key: str, names: Iterable[str]) -> list[str]:
     """Sort names by rendezvous hash for a key, the highest first."""
     return sorted(
         names,
-        key=lambda name: xxhash.xxh3_64_intdigest(f'{key}\0{name}'.encode()),
+        key=lambda name: hash_for_rendezvous(key, name),
         reverse=True,
     )
--- a/limpetshore/state/store.py
+++ b/limpetshore/state/store.py
@@ -45,8 +45,13 @@
     """Store versioned objects, with conditional writes and a watch."""
 
     @abstractmethod
-    async def get(self, kind: str, name: str) -> StoredObject | None:
-        """Return an object, or None if it does not exist."""
+    async def get(
+        self, kind: str, name: str, *, allow_stale: bool = False
+    ) -> StoredObject | None:
+        """Return an object, or None if it does not exist.
+
+        With `allow_stale`, the answer may be some seconds old.
+        """
 
     @abstractmethod
     async def put(
@@ -155,8 +160,10 @@
         """Configure the address of the API and the timeout of a request."""
         self.client = HttpStoreClient(address, timeout_s, metrics)
 
-    async def get(self, kind: str, name: str) -> StoredObject | None:
-        """Return an object, or None if it does not exist."""
+    async def get(
+        self, kind: str, name: str, *, allow_stale: bool = False
+    ) -> StoredObject | None:
+        """Return an object, or None if it does not exist; never a stale one."""
         response = await self.client.call(
             'get', 'GET', f'/objects/{kind}/{name}'
         )
