Keep calls in their zone while its servers have room

Cause: the penalty on servers of other zones was a weight, so that with an idle server at hand two fifths of the calls left the zone.

Change: servers of the own zone are chosen alone while one has room, answers and is not much slower than the others; else all are weighed as before.

--- a/limpetshore/decisions/balancing.py
+++ b/limpetshore/decisions/balancing.py
@@ -23,6 +23,12 @@
 # Added to the load of every server, so that an idle one has a cost above 0.
 BASE_LOAD = 0.3
 COST_EXPONENT = 2
+# A server in the own zone has room below this load, as long as few of its
+# answers fail and it is not much slower than the others.
+MAX_LOCAL_LOAD = 0.7
+MAX_LOCAL_FAILED_SHARE = 0.1
+MAX_LOCAL_SLOWNESS = 2.5
+LOAD_EXPIRY_S = 1.0
 FAILED_SHARE_GAIN = 0.05
 FAILED_SHARE_PENALTY = 8
 
@@ -34,6 +40,7 @@
         """Start without observations; `half_life_s` applies to the level."""
         self.in_flight = 0
         self.load: float = 0
+        self.load_reported_at: float = 0
         self.level = ReportedLevel(half_life_s)
         self.failure_streak = 0
         self.ejected_until: float = 0
@@ -50,6 +57,7 @@
         self.failure_streak = 0
         self.ejected_until = 0
         self.load = meta.load
+        self.load_reported_at = clock.now()
         self.service_time_s = meta.service_time_s
         self.level.report(meta.level)
 
@@ -108,6 +116,22 @@
     slots: int
     zone_penalty: float
 
+    def has_local_room(self, mean_time_s: float, now: float) -> bool:
+        """Tell whether the server is in the own zone and can take a request.
+
+        A report of a high load that is older than `LOAD_EXPIRY_S` counts no
+        longer: a server that is avoided sends no newer one.
+        """
+        stats = self.stats
+        if self.zone_penalty or stats.failed_share > MAX_LOCAL_FAILED_SHARE:
+            return False
+        if stats.service_time_s > mean_time_s * MAX_LOCAL_SLOWNESS:
+            return False
+        load = stats.in_flight / self.slots
+        if now < stats.load_reported_at + LOAD_EXPIRY_S:
+            load = max(load, stats.load)
+        return load < MAX_LOCAL_LOAD
+
 
 class Balancer:
     """Choose servers at random, more often those expected to answer sooner.
@@ -198,7 +222,7 @@
                 if candidate.state.name not in tried
             ]
             candidates = untried or candidates
-        candidates = exclude_ejected(candidates)
+        candidates = prefer_own_zone(exclude_ejected(candidates))
         return self.draw(candidates) if candidates else None
 
     def draw(self, candidates: list[Candidate]) -> NodeState:
@@ -255,6 +279,22 @@
     return available
 
 
+def prefer_own_zone(candidates: list[Candidate]) -> list[Candidate]:
+    """Return the servers of the own zone that have room, or else all.
+
+    Traffic between zones is dear, and slower. A zone whose servers are full,
+    slow or failing uses those of all zones.
+    """
+    mean_time_s = mean_service_time(candidates)
+    now = clock.now()
+    local = [
+        candidate
+        for candidate in candidates
+        if candidate.has_local_room(mean_time_s, now)
+    ]
+    return local or candidates
+
+
 def mean_service_time(candidates: list[Candidate]) -> float:
     """Return the mean of the known service times, 1 if none is known."""
     known = [
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -142,3 +142,71 @@
         for _ in range(40 if number == 0 else 0):
             stats.record_refusal(answer, Reason.SERVER_SHED)
     assert measure_shares(balancer).get('node-0', 0) < 0.05
+
+
+def build_zoned_balancer(zones):
+    """Return a balancer in zone-a with one server in each of `zones`."""
+    table = MemberTable(
+        build_node_state('entry', service='other', peers='10.0.0.9:1'),
+    )
+    for index, zone in enumerate(zones):
+        table.merge(
+            build_node_state(
+                f'node-{index}', zone=zone, peers=f'10.0.1.{index}:1'
+            )
+        )
+    balancer = Balancer(table, 'zone-a', 0.5, random.Random(1))
+    for index in range(len(zones)):
+        balancer.stats(f'node-{index}').service_time_s = 0.1
+    return balancer
+
+
+def list_chosen(balancer, count=200):
+    """Return the names of the servers chosen for some requests."""
+    return {balancer.choose('stock', []).name for _ in range(count)}
+
+
+def test_own_zone_is_used_while_it_has_room(manual_clock):
+    """Send nothing to other zones at moderate load.
+
+    Two fifths of the calls went to other zones with an idle server at hand;
+    the bytes between zones were the highest price of all days on further.
+    """
+    balancer = build_zoned_balancer(['zone-a', 'zone-b', 'zone-c', 'zone-d'])
+    balancer.stats('node-0').load = 0.6
+    balancer.stats('node-0').load_reported_at = manual_clock.now
+    assert list_chosen(balancer) == {'node-0'}
+
+
+def test_full_zone_spills_to_others(manual_clock):
+    """Use all zones once the own one is nearly full, and return later."""
+    balancer = build_zoned_balancer(['zone-a', 'zone-b', 'zone-c', 'zone-d'])
+    balancer.stats('node-0').load = 0.9
+    balancer.stats('node-0').load_reported_at = manual_clock.now
+    assert len(list_chosen(balancer)) > 1
+    manual_clock.now += 1.1
+    assert list_chosen(balancer) == {'node-0'}
+
+
+def test_calls_in_flight_fill_a_zone(manual_clock):
+    """Count own calls, which no report of the server contains yet."""
+    balancer = build_zoned_balancer(['zone-a', 'zone-b'])
+    balancer.stats('node-0').in_flight = 8
+    assert list_chosen(balancer) == {'node-0', 'node-1'}
+
+
+@pytest.mark.parametrize(
+    ('name', 'value'), [('service_time_s', 0.8), ('failed_share', 0.3)]
+)
+def test_zone_of_slow_or_failing_server_uses_others(manual_clock, name, value):
+    """Avoid a much slower or failing server though it is near."""
+    balancer = build_zoned_balancer(['zone-a', 'zone-b', 'zone-c', 'zone-d'])
+    setattr(balancer.stats('node-0'), name, value)
+    assert {'node-1', 'node-2', 'node-3'} <= list_chosen(balancer)
+
+
+def test_ejected_local_server_is_avoided(manual_clock):
+    """Use other zones at once after the local server became unreachable."""
+    balancer = build_zoned_balancer(['zone-a', 'zone-b', 'zone-c', 'zone-d'])
+    balancer.stats('node-0').eject()
+    assert 'node-0' not in list_chosen(balancer)
