Run background loops again after an unexpected error

Cause: one unexpected exception in a background loop ended the task group of the node, and with it the process and all its open calls.

Change: each loop runs under run_supervised, which counts and logs the defect and starts the loop again after a second. The mock clock loads the trio backend up front: CPython 3.11 fails to compile it while a leaked stream is collected.

Measured: tests/test_supervision.py; it failed beside tests/test_http_client.py before the backend was loaded up front (SystemError in ast.parse).

--- a/limpetshore/metrics.py
+++ b/limpetshore/metrics.py
@@ -129,7 +129,7 @@
     def report_defect(self, role: str) -> None:
         """Count and log the unexpected exception that is being handled."""
         self.defects.labels(role).inc()
-        logger.exception('a call failed with an unexpected exception')
+        logger.exception('unexpected exception ({0})', role)
 
     def count_refusal(self, role: str, refusal: Refusal) -> None:
         """Count one refusal by its role, reason and verdict."""
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -41,6 +41,7 @@
 from limpetshore.state.fencing import FencingState
 from limpetshore.state.members import MemberTable, Status
 from limpetshore.state.policies import PolicyIndex
+from limpetshore.supervision import run_supervised
 from limpetshore.transport.asgi_server import AsgiServer
 from limpetshore.transport.call_server import CallServer
 
@@ -272,10 +273,13 @@
             self.identify_backend,
             self.run_periodic_updates,
         ):
-            self.tasks.start_soon(loop)
+            self.tasks.start_soon(run_supervised, self.metrics, loop)
         if self.grants_budgets:
-            self.tasks.start_soon(self.ledger_repair.run)
-            self.tasks.start_soon(self.prefetching_limiter.return_idle)
+            for loop in (
+                self.ledger_repair.run,
+                self.prefetching_limiter.return_idle,
+            ):
+                self.tasks.start_soon(run_supervised, self.metrics, loop)
         tune_garbage_collector()
 
     def announce_leaving(self) -> None:
--- a/tests/mock_clock.py
+++ b/tests/mock_clock.py
@@ -1,5 +1,6 @@
 """Run asynchronous tests on a mock clock that jumps when all tasks wait."""
 
+import anyio._backends._trio  # noqa: F401; loaded before any test runs
 import trio
 import trio.testing
 from trio._core import _run
