Take no stray answer of a server for that of the next request

Cause: a copy of an earlier refusal without a request id, on a kept connection, was taken for the answer to the next request: its caller was told 'not run'. Heads, interim answers and stray answers without end were read until memory or the deadline ended it, since each wait for bytes started a new timeout. An undecodable instance id in a health answer ended the process.

Change: an answer without an id counts only on the first request of a connection; a connection closes after a refusal, a stray answer or bytes that are no HTTP. Heads, discarded answers and trains of answers are bounded, timeouts hold for the whole wait, and an answer that goes on after its deadline is cut.

--- a/limpetshore/errors.py
+++ b/limpetshore/errors.py
@@ -60,6 +60,10 @@
     """Report an answer that ended or stalled before it was complete."""
 
 
+class TooLongError(TransportError):
+    """Report a head, or a train of answers, that does not end."""
+
+
 class PeerError(LimpetshoreError):
     """Report a failed control call to another node."""
 
--- a/limpetshore/platform/dialects.py
+++ b/limpetshore/platform/dialects.py
@@ -139,6 +139,10 @@
         echoed = get_header(head.headers, wire.REQUEST_ID)
         return echoed is not None and echoed != request_id.encode()
 
+    def is_anonymous(self, head: ResponseHead) -> bool:
+        """Tell whether a server left out the id that it must echo."""
+        return get_header(head.headers, wire.REQUEST_ID) is None
+
     def find_answer_error(self, head: ResponseHead, request_id: str) -> str:
         """Return why an answer must not be forwarded, empty if it may be."""
         if self.is_stale(head, request_id):
--- a/limpetshore/platform/health.py
+++ b/limpetshore/platform/health.py
@@ -41,7 +41,8 @@
         logger.info('health query of the local server failed: {0}', error)
     if head is None or head.status != OK:
         return None
-    instance = (get_header(head.headers, wire.INSTANCE) or b'').decode()
+    instance = get_header(head.headers, wire.INSTANCE) or b''
+    instance = instance.decode('latin-1')
     return Announcement(
         state=wire.READY,
         slots=slots,
--- a/limpetshore/protocol/dialects.py
+++ b/limpetshore/protocol/dialects.py
@@ -113,6 +113,10 @@
     def is_stale(self, head: ResponseHead, request_id: str) -> bool:
         """Tell whether an answer belongs to an earlier request."""
 
+    @abstractmethod
+    def is_anonymous(self, head: ResponseHead) -> bool:
+        """Tell whether an answer lacks the id by which requests are told."""
+
     @abstractmethod
     def find_answer_error(self, head: ResponseHead, request_id: str) -> str:
         """Return why an answer must not reach the caller, or an empty text."""
@@ -214,6 +218,10 @@
         """Return False: answers on this interface carry no request id."""
         return False
 
+    def is_anonymous(self, head: ResponseHead) -> bool:
+        """Return False: no request can be told from another."""
+        return False
+
     def find_answer_error(self, head: ResponseHead, request_id: str) -> str:
         """Accept every answer: each connection carries one call at a time."""
         return ''
--- a/limpetshore/protocol/exchanges.py
+++ b/limpetshore/protocol/exchanges.py
@@ -225,3 +225,15 @@
             'no answer before the deadline',
             verdict=Verdict.MAY_HAVE_RUN,
         ) from error
+
+
+async def skip_answer_by(connection: HttpConnection, deadline: float) -> None:
+    """Discard a stray answer; refuse the request at the deadline."""
+    try:
+        await connection.skip_answer(max(0, deadline - clock.now()))
+    except TimeoutError as error:
+        raise refuse(
+            Reason.DEADLINE,
+            'a stray answer did not end before the deadline',
+            verdict=Verdict.MAY_HAVE_RUN,
+        ) from error
--- a/limpetshore/routing/guard.py
+++ b/limpetshore/routing/guard.py
@@ -26,6 +26,7 @@
     read_chunk_within,
     read_head_by,
     send_request,
+    skip_answer_by,
 )
 from limpetshore.protocol.messages import (
     MAX_STORE_AGE_S,
@@ -185,10 +186,12 @@
         self.has_slot = False
         self.has_failed = False
         self.started_at: float = 0
+        self.deadline: float = 0
 
     async def open(self, request: OutboundRequest) -> Answer:
         """Admit the call, send it to the server and wait for the answer."""
         self.meta = request.meta
+        self.deadline = request.deadline
         try:
             return await self.admit_and_send(request)
         except RefusedError as error:
@@ -299,6 +302,8 @@
         elif not_run_reason is not None:
             self.guard.admission.limit.observe_shed()
         if not_run_reason is not None:
+            # A second copy of the refusal would name a retry of this request.
+            connection.must_close = True
             self.release_request_id(request.meta)
             raise refuse(not_run_reason, 'the server did not run the request')
         self.has_failed = head.status >= MIN_SERVER_ERROR_STATUS
@@ -318,7 +323,10 @@
             head = await read_head_by(connection, request.deadline)
             if not dialect.is_stale(head, request_id):
                 break
-            await connection.skip_answer()
+            await skip_answer_by(connection, request.deadline)
+        if connection.request_count > 1 and dialect.is_anonymous(head):
+            # It may be a copy of the answer to an earlier request.
+            raise ConnectionLostError('the answer names no request')
         answer_error = dialect.find_answer_error(head, request_id)
         if answer_error:
             raise ConnectionLostError(answer_error)
@@ -364,11 +372,14 @@
         return body
 
     async def read_chunk(self) -> bytes:
-        """Return the next chunk of the answer, empty at its end."""
-        chunk = await read_chunk_within(
-            self.connection,
-            self.guard.settings.call.stall_s,
-        )
+        """Return the next chunk of the answer, empty at its end.
+
+        An answer that still comes long after the deadline has no end.
+        """
+        stall_s = self.guard.settings.call.stall_s
+        if clock.now() > self.deadline + stall_s:
+            raise TruncatedError('the answer goes on after its deadline')
+        chunk = await read_chunk_within(self.connection, stall_s)
         if not chunk:
             self.record_complete_answer()
         return chunk
--- a/limpetshore/transport/http_client.py
+++ b/limpetshore/transport/http_client.py
@@ -11,12 +11,21 @@
 import httptools
 
 from limpetshore import clock
-from limpetshore.errors import ConnectError, ConnectionLostError, TruncatedError
+from limpetshore.errors import (
+    ConnectError,
+    ConnectionLostError,
+    TooLongError,
+    TruncatedError,
+)
 
 Headers = list[tuple[bytes, bytes]]
 
 HEADER_LINE_FORMAT = b'%b: %b\r\n'
 MAX_BUFFERED_BYTES = 262144
+MAX_HEAD_BYTES = 65536
+# Of an answer to an earlier request, which is discarded.
+MAX_SKIPPED_BYTES = 65536
+MAX_QUEUED_RESPONSES = 4
 CONNECT_TIMEOUT_S = 1.0
 TCP_USER_TIMEOUT_MS = 5000
 MAX_INFORMATIONAL_STATUS = 199
@@ -73,6 +82,23 @@
         self.current = Response()
         self.receiving = self.current
         self.buffered_bytes = 0
+        self.head_bytes = 0
+
+    def feed(self, received: bytes) -> None:
+        """Parse received bytes.
+
+        Raise HttpParserError if they are not HTTP, and TooLongError if a head
+        or a train of answers has no end.
+        """
+        self.parser.feed_data(received)
+        if self.receiving.head is None:
+            self.head_bytes += len(received)
+        else:
+            self.head_bytes = 0
+        if self.head_bytes > MAX_HEAD_BYTES:
+            raise TooLongError('the head of an answer is too long')
+        if len(self.queued) > MAX_QUEUED_RESPONSES:
+            raise TooLongError('too many answers to one request')
 
     @property
     def has_queued_responses(self) -> bool:
@@ -111,6 +137,7 @@
     def on_body(self, body: bytes) -> None:
         """Add a chunk of the body."""
         self.receiving.body.append(body)
+        self.buffered_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Mark the answer complete, unless it is informational (1xx)."""
@@ -146,7 +173,9 @@
         self.idle_since = clock.now()
         self.read_waiter: asyncio.Future[None] | None = None
         self.write_waiter: asyncio.Future[None] | None = None
-        self.parse_error: httptools.HttpParserError | None = None
+        self.parse_error: Exception | None = None
+        self.must_close = False
+        self.request_count = 0
         self.pool: HttpPool | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -167,11 +196,11 @@
             self.pool.last_received_at = clock.now()
         reader = self.reader
         try:
-            reader.parser.feed_data(received)
-        except httptools.HttpParserError as error:
+            reader.feed(received)
+        except (httptools.HttpParserError, TooLongError) as error:
             self.parse_error = error
+            self.transport.pause_reading()
         wake_waiter(self.read_waiter)
-        reader.buffered_bytes += len(received)
         if reader.buffered_bytes > MAX_BUFFERED_BYTES and not self.is_paused:
             self.is_paused = True
             self.transport.pause_reading()
@@ -207,6 +236,7 @@
         else:
             self.reader.reset()
         self.is_reusable = False
+        self.request_count += 1
         lines = b''.join(map(HEADER_LINE_FORMAT.__mod__, headers))
         await self.send(
             b'%b %b HTTP/1.1\r\n%b\r\n%b' % (method, target, lines, body),
@@ -223,8 +253,9 @@
     async def read_head(self, timeout_s: float | None = None) -> ResponseHead:
         """Wait for the head of the answer, or raise TimeoutError."""
         response = self.reader.current
+        deadline = self.find_deadline(timeout_s)
         while response.head is None:
-            await self.wait_received(ConnectionLostError, timeout_s)
+            await self.wait_received(ConnectionLostError, deadline)
         return response.head
 
     @property
@@ -236,8 +267,9 @@
     async def read_chunk(self, timeout_s: float | None = None) -> bytes:
         """Return the next chunk of the body, empty at its end."""
         response = self.reader.current
+        deadline = self.find_deadline(timeout_s)
         while not response.body and not response.is_complete:
-            await self.wait_received(TruncatedError, timeout_s)
+            await self.wait_received(TruncatedError, deadline)
         if response.body:
             chunk = response.body.popleft()
             self.resume_reading(len(chunk))
@@ -258,16 +290,28 @@
 
     def finish_answer(self, response: Response) -> None:
         """Set whether the connection can be reused after a complete answer."""
+        is_faulty = self.parse_error or self.reader.has_queued_responses
+        is_closing = self.must_close or self.is_disconnected
         self.is_reusable = (
             response.is_kept_alive
             and self.is_request_sent
-            and not self.reader.has_queued_responses
-            and not self.is_disconnected
+            and not is_faulty
+            and not is_closing
         )
 
-    async def skip_answer(self) -> None:
-        """Discard an answer and prepare to read the next one."""
-        await self.read_all()
+    async def skip_answer(self, timeout_s: float) -> None:
+        """Discard an answer to an earlier request and prepare for the next.
+
+        The connection is not reused after that. Raise TimeoutError if the
+        answer does not end in time, TruncatedError if it is too long.
+        """
+        self.must_close = True
+        deadline = self.loop.time() + timeout_s
+        skipped_bytes = 0
+        while chunk := await self.read_chunk(deadline - self.loop.time()):
+            skipped_bytes += len(chunk)
+            if skipped_bytes > MAX_SKIPPED_BYTES:
+                raise TruncatedError(f'{self.address} sent a stray answer')
         self.is_reusable = False
         self.reader.advance()
 
@@ -286,15 +330,20 @@
             chunks.append(chunk)
         return b''.join(chunks)
 
+    def find_deadline(self, timeout_s: float | None) -> float | None:
+        """Return when a wait of `timeout_s` ends, in time of the event loop."""
+        return None if timeout_s is None else self.loop.time() + timeout_s
+
     async def wait_received(
         self,
         error_class: type[ConnectionLostError | TruncatedError],
-        timeout_s: float | None,
+        deadline: float | None,
     ) -> None:
         """Wait for more bytes.
 
-        Raise TimeoutError after `timeout_s`, and `error_class` if the
-        connection is closed or the server sent bytes that are not HTTP.
+        Raise TimeoutError at the deadline, a time of the event loop, and
+        `error_class` if the connection is closed or the server sent bytes that
+        are not HTTP.
         """
         if self.parse_error:
             raise error_class(f'{self.address} is not HTTP: {self.parse_error}')
@@ -303,8 +352,8 @@
         waiter = self.loop.create_future()
         self.read_waiter = waiter
         timer = None
-        if timeout_s is not None:
-            timer = self.loop.call_later(timeout_s, fail_waiter, waiter)
+        if deadline is not None:
+            timer = self.loop.call_at(deadline, fail_waiter, waiter)
         try:
             await waiter
         finally:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -143,7 +143,7 @@
         connection = await pool.acquire()
         await connection.send_head(b'GET', b'/', HEADERS)
         await connection.read_head(2)
-        await connection.skip_answer()
+        await connection.skip_answer(2)
         await connection.read_head(2)
         return await connection.read_all()
 
--- /dev/null
+++ b/tests/test_stray_answers.py
@@ -0,0 +1,288 @@
+"""Test the guard against servers that write more than one answer."""
+
+import asyncio
+
+import anyio
+import pytest
+
+from limpetshore import clock
+from limpetshore.errors import RefusedError, TruncatedError
+from limpetshore.importance import Importance
+from limpetshore.metrics import Metrics
+from limpetshore.platform import wire
+from limpetshore.platform.dialects import PlatformBackendDialect
+from limpetshore.platform.health import query_server
+from limpetshore.protocol.exchanges import InboundRequest, OutboundRequest
+from limpetshore.protocol.messages import CallMeta
+from limpetshore.routing.guard import Guard, GuardExchange
+from limpetshore.settings import check_settings
+from limpetshore.state.backends import Announcement
+from limpetshore.state.fencing import FencingState
+from limpetshore.transport.http_client import MAX_BUFFERED_BYTES
+from limpetshore.verdicts import Verdict
+
+HOST, PORT = '127.0.9.7', 7413
+REFUSED, RUN = 503, 200
+
+
+def build_answer(status, request_id, body=b'body', *more):
+    """Return the bytes of an answer; None leaves out the request id."""
+    lines = [b'HTTP/1.1 %d X' % status, b'content-length: %d' % len(body)]
+    if status == RUN:
+        lines.append(wire.SEAL + b': s')
+    else:
+        lines.append(wire.NOT_EXECUTED + b': 1')
+    if request_id is not None:
+        lines.append(wire.REQUEST_ID + b': ' + request_id)
+    return b'\r\n'.join([*lines, *more, b'', body])
+
+
+def build_guard():
+    """Return a guard whose server has announced itself."""
+    settings = check_settings(
+        {
+            'node': {'name': 'n', 'zone': 'z'},
+            'listen': {
+                name: '127.0.9.7:1'
+                for name in ('callers', 'peers', 'control', 'admin')
+            },
+            'backend': {'service': 'yard', 'address': f'{HOST}:{PORT}'},
+            'store': {'address': '127.0.9.7:2'},
+            'call': {'stall_s': 0.3},
+        }
+    )
+    fencing = FencingState('n', fence_s=8, cut_off_s=4)
+    guard = Guard(settings, Metrics(), fencing, PlatformBackendDialect())
+    guard.backend.update(Announcement('ready', 20, 'i-1.0', 'i-1'))
+    guard.apply_announcement(is_new=True)
+    return guard
+
+
+def build_request(request_id, timeout_s=1.0):
+    """Return a request that must not run twice."""
+    meta = CallMeta(
+        call_id=f'call-{request_id}',
+        request_id=request_id,
+        customer='harbour',
+        route='hold',
+        importance=Importance.NORMAL,
+        timeout_ms=int(timeout_s * 1000),
+        retries_left=0,
+        depth=0,
+        is_repeatable=False,
+        is_id_from_caller=False,
+        service='yard',
+        caller_service='stock',
+        precedence=0,
+    )
+    headers = [(wire.REQUEST_ID, request_id.encode())]
+    inbound = InboundRequest(b'GET', b'/', headers, b'', None, None)
+    return OutboundRequest(inbound, meta, clock.now() + timeout_s)
+
+
+def run_against_server(script, work):
+    """Run `work` with a guard; the script lists what each request gets."""
+    pieces = iter(script)
+    writers = []
+
+    async def serve(reader, writer):
+        writers.append(writer)
+        try:
+            while await reader.readuntil(b'\r\n\r\n'):
+                for piece in next(pieces, []):
+                    if callable(piece):
+                        await write_endlessly(writer, piece())
+                        continue
+                    writer.write(piece)
+                    await writer.drain()
+                    await asyncio.sleep(0.01)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def run():
+        server = await asyncio.start_server(serve, HOST, PORT)
+        guard = build_guard()
+        try:
+            return await work(guard)
+        finally:
+            guard.pool.close_idle()
+            server.close()
+            for writer in writers:
+                writer.transport.abort()
+            await asyncio.sleep(0.01)
+
+    return anyio.run(run)
+
+
+async def write_endlessly(writer, piece):
+    """Write a piece again and again until the caller closes."""
+    while True:
+        writer.write(piece)
+        await writer.drain()
+        await asyncio.sleep(0)
+
+
+async def send(guard, request_id, timeout_s=1.0):
+    """Send one request; return the status or the verdict of the refusal."""
+    exchange = GuardExchange(guard)
+    try:
+        answer = await exchange.open(build_request(request_id, timeout_s))
+        body = exchange.take_buffered_body()
+        while body is None:
+            if not await exchange.read_chunk():
+                break
+        return answer.head.status
+    except RefusedError as error:
+        return error.refusal.verdict
+    except TruncatedError:
+        return TruncatedError
+    finally:
+        await exchange.close()
+
+
+async def send_one_and_two(guard):
+    """Return the outcomes of two requests, one after the other."""
+    first = await send(guard, 'one')
+    await asyncio.sleep(0.05)
+    return first, await send(guard, 'two')
+
+
+@pytest.mark.parametrize('request_id', [b'one', None])
+@pytest.mark.parametrize('status', [REFUSED, RUN])
+def test_copy_of_earlier_answer_is_not_the_next_one(status, request_id):
+    """Never take an earlier answer or refusal for that of the next request.
+
+    A server wrote an earlier refusal once more, when it already ran the next
+    request: its caller was told that the request had not run.
+    """
+    script = [
+        [build_answer(RUN, b'one')],
+        [build_answer(status, request_id, b'old'), build_answer(RUN, b'two')],
+    ]
+    outcome = run_against_server(script, send_one_and_two)
+    assert outcome in {(RUN, RUN), (RUN, Verdict.MAY_HAVE_RUN)}
+
+
+def test_refusal_of_a_request_is_not_repeated_for_its_second_try():
+    """Send a refused request again on a new connection only.
+
+    On the old one, a second copy of the refusal names the same request.
+    """
+
+    async def work(guard):
+        first = await send(guard, 'one')
+        await asyncio.sleep(0.05)
+        return first, len(guard.pool.idle), await send(guard, 'one')
+
+    script = [[build_answer(REFUSED, b'one')], [build_answer(RUN, b'one')]]
+    assert run_against_server(script, work) == (Verdict.NOT_RUN, 0, RUN)
+
+
+def test_connection_with_a_stray_answer_is_not_used_again():
+    """Close a connection after an answer that no request waited for."""
+
+    async def work(guard):
+        return await send(guard, 'one'), len(guard.pool.idle)
+
+    script = [[build_answer(RUN, b'zero'), build_answer(RUN, b'one')]]
+    assert run_against_server(script, work) == (RUN, 0)
+
+
+def build_endless_head():
+    """Return the lines of a head that goes on."""
+    return b'x-more: %s\r\n' % (b'a' * 1000)
+
+
+def build_endless_line():
+    """Return a part of a header line that goes on."""
+    return b'a' * 1000
+
+
+def build_endless_interim_answers():
+    """Return informational answers."""
+    return b'HTTP/1.1 100 Continue\r\n\r\n' * 40
+
+
+ENDLESS_HEADS = [
+    [b'HTTP/1.1 200 OK\r\n', build_endless_head],
+    [b'HTTP/1.1 200 OK\r\nx-long: ', build_endless_line],
+    [build_endless_interim_answers],
+]
+
+
+@pytest.mark.parametrize('pieces', ENDLESS_HEADS)
+def test_head_without_end_is_given_up(pieces):
+    """Close the connection soon, long before the deadline of the request."""
+
+    async def work(guard):
+        started_at = clock.now()
+        outcome = await send(guard, 'one', timeout_s=20)
+        return outcome, clock.now() - started_at < 10
+
+    outcome = run_against_server([pieces], work)
+    assert outcome == (Verdict.MAY_HAVE_RUN, True)
+
+
+def test_stray_answer_without_end_is_given_up():
+    """Discard no more than some kilobytes of an answer to another request."""
+    head = b'HTTP/1.1 200 OK\r\n' + wire.REQUEST_ID + b': zero\r\n\r\n'
+
+    async def work(guard):
+        return await send(guard, 'one', timeout_s=20)
+
+    script = [[head, lambda: b'b' * 1000]]
+    assert run_against_server(script, work) == Verdict.MAY_HAVE_RUN
+
+
+def test_body_without_end_is_given_up():
+    """Abort an answer that is still coming long after the deadline."""
+    head = (
+        b'HTTP/1.1 200 OK\r\n'
+        + wire.REQUEST_ID
+        + b': one\r\n'
+        + wire.SEAL
+        + b': s\r\ntransfer-encoding: chunked\r\n\r\n'
+    )
+
+    async def work(guard):
+        return await send(guard, 'one', timeout_s=0.3)
+
+    script = [[head, lambda: b'3e8\r\n' + b'b' * 1000 + b'\r\n']]
+    assert run_against_server(script, work) is TruncatedError
+
+
+def test_unread_body_without_end_is_not_kept():
+    """Stop reading while the caller does not take what has come."""
+    head = (
+        b'HTTP/1.1 200 OK\r\n'
+        + wire.REQUEST_ID
+        + b': one\r\n'
+        + wire.SEAL
+        + b': s\r\n\r\n'
+    )
+
+    async def work(guard):
+        exchange = GuardExchange(guard)
+        await exchange.open(build_request('one'))
+        await asyncio.sleep(0.3)
+        buffered = exchange.connection.reader.buffered_bytes
+        await exchange.close()
+        return buffered
+
+    script = [[head, lambda: b'b' * 1000]]
+    assert run_against_server(script, work) <= 2 * MAX_BUFFERED_BYTES
+
+
+def test_health_answer_with_undecodable_id_ends_no_process():
+    """Take an instance id for text, whatever bytes a server sends."""
+    answer = (
+        b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n'
+        + wire.INSTANCE
+        + b': \xff\xfe\r\n\r\n'
+    )
+
+    async def work(guard):
+        found = await query_server(guard.settings, '/health', 20)
+        return found.slots
+
+    assert run_against_server([[answer]], work) == 20
