Await an answer of another node without polling

Change: ProbeSchedule tells when the next probe is due, and the wait lasts until then, the time at which the answer is overdue, or the deadline. When to probe is as before.

--- a/limpetshore/routing/peer_calls.py
+++ b/limpetshore/routing/peer_calls.py
@@ -205,6 +205,38 @@
     await sender.send_body(b'', is_last=True)
 
 
+class ProbeSchedule:
+    """Tell when to probe a node for a call that it has not answered.
+
+    A node that still sends other bytes is probed after `silence_s`, a quiet one
+    after `late_s`. Both intervals double with each probe.
+    """
+
+    def __init__(
+        self, started_at: float, *, silence_s: float, late_s: float
+    ) -> None:
+        """Count from `started_at`."""
+        self.started_at = started_at
+        self.silence_s = silence_s
+        self.late_s = late_s
+
+    def find_due(self, quiet_since: float) -> float:
+        """Return the time of the next probe of a node quiet since then.
+
+        >>> schedule = ProbeSchedule(10, silence_s=1.5, late_s=0.5)
+        >>> [schedule.find_due(since) for since in (9, 11, 12)]
+        [10.5, 11, 11.5]
+        """
+        due_if_quiet = max(self.started_at + self.late_s, quiet_since)
+        return min(self.started_at + self.silence_s, due_if_quiet)
+
+    def restart(self, probed_at: float) -> None:
+        """Count from a probe."""
+        self.started_at = probed_at
+        self.silence_s *= 2
+        self.late_s *= 2
+
+
 class PeerExchange(Exchange):
     """Forward one call to the guard of another node."""
 
@@ -260,19 +292,19 @@
         late; at size, most pairs of nodes have few calls, and that alone says
         nothing. The intervals between probes double.
         """
-        silence_s = self.silence_s
-        late_s = min(silence_s, max(self.quiet_s, request.late_after_s))
-        probed_at = clock.now()
+        schedule = ProbeSchedule(
+            clock.now(),
+            silence_s=self.silence_s,
+            late_s=min(self.silence_s, max(self.quiet_s, request.late_after_s)),
+        )
         while clock.now() < request.deadline:
-            head = await self.poll_head(request)
+            probe_at = schedule.find_due(self.quiet_since)
+            head = await self.poll_head(request, probe_at)
             if head is not None:
                 return head
-            interval_s = silence_s if self.is_peer_active else late_s
-            if clock.now() < probed_at + interval_s:
+            if clock.now() < schedule.find_due(self.quiet_since):
                 continue
-            probed_at = clock.now()
-            silence_s *= 2
-            late_s *= 2
+            schedule.restart(clock.now())
             if await self.probe_answer_lost(request):
                 return await self.wait_grace_period()
         raise refuse(
@@ -298,9 +330,11 @@
         self.pool.last_received_at = clock.now()
         return await self.is_answer_lost(reply)
 
-    async def poll_head(self, request: OutboundRequest) -> ResponseHead | None:
-        """Wait briefly for the head; return None if it does not arrive."""
-        wait_s = self.next_wait_s(request)
+    async def poll_head(
+        self, request: OutboundRequest, probe_at: float
+    ) -> ResponseHead | None:
+        """Wait for the head until the next check; return None without it."""
+        wait_s = self.next_wait_s(request, probe_at)
         with contextlib.suppress(TimeoutError):
             return await self.connection.read_head(wait_s)
         if self.is_overdue(request) and request.may_retry_elsewhere():
@@ -308,18 +342,18 @@
         return None
 
     @property
-    def is_peer_active(self) -> bool:
-        """Tell whether a byte arrived from the node within `quiet_s`."""
-        return clock.now() < self.pool.last_received_at + self.quiet_s
+    def quiet_since(self) -> float:
+        """Return when a node that sends nothing more counts as quiet."""
+        return self.pool.last_received_at + self.quiet_s
 
-    def next_wait_s(self, request: OutboundRequest) -> float:
+    def next_wait_s(self, request: OutboundRequest, probe_at: float) -> float:
         """Return the seconds to wait for the head before the next checks."""
         now = clock.now()
-        wait_s = min(self.quiet_s, request.deadline - now)
+        wait_s = max(0, min(probe_at, request.deadline) - now)
         if request.overdue_after_s is not None:
             overdue_s = self.sent_at + request.overdue_after_s - now
-            if overdue_s > 0:
-                wait_s = min(wait_s, overdue_s)
+            # A retry of an overdue request may become possible any time.
+            wait_s = min(wait_s, overdue_s if overdue_s > 0 else self.quiet_s)
         return wait_s
 
     def is_overdue(self, request: OutboundRequest) -> bool:
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -30,9 +30,11 @@
     def __init__(self, delay_s):
         """Answer `delay_s` seconds from now, never if it is None."""
         self.answered_at = None if delay_s is None else clock.now() + delay_s
+        self.waits = 0
 
     async def read_head(self, timeout_s):
         """Return a head, or raise TimeoutError."""
+        self.waits += 1
         end = clock.now() + timeout_s
         if self.answered_at is None or self.answered_at > end:
             await anyio.sleep(timeout_s)
@@ -89,6 +91,18 @@
     assert count_probes(0.4, 0.5) == 0
 
 
+def test_usual_answer_is_awaited_without_polling():
+    """Wake up for the answer only, though it takes many times `quiet_s`."""
+
+    async def run():
+        exchange = CountedProbes(QuietPool(), SILENCE_S, 10, QUIET_S)
+        exchange.connection = DelayedConnection(1.2)
+        await exchange.wait_head(WaitingRequest(1.3))
+        return exchange.connection.waits
+
+    assert run_on_mock_clock(run) == 1
+
+
 @pytest.mark.parametrize('late_after_s', [0, 0.5])
 def test_late_answer_is_probed_at_growing_intervals(late_after_s):
     """Probe a late call a few times."""
