Send requests to a bounded, zone-aware subset of a service

More than half of the calls opened a new connection (298 of 526 in the profile), since few pairs had calls often enough to keep one, and each choice went over all servers several times.

--- a/limpetshore/decisions/balancing.py
+++ b/limpetshore/decisions/balancing.py
@@ -7,6 +7,7 @@
 
 from limpetshore import clock
 from limpetshore.decisions.admission_levels import ReportedLevel
+from limpetshore.decisions.subsetting import choose_subset
 from limpetshore.protocol.messages import AnswerMeta, NodeState
 from limpetshore.state.members import MemberTable
 from limpetshore.verdicts import UNANSWERED_REASONS, UNSENT_REASONS, Reason
@@ -171,7 +172,7 @@
         self.candidates.clear()
 
     def list_candidates(self, service: str) -> list[Candidate]:
-        """Return the servers of a service that accept new requests.
+        """Return the subset of a service to which this node sends requests.
 
         The list is cached until the member table or the drained nodes change.
         """
@@ -180,11 +181,13 @@
             self.candidates.clear()
         found = self.candidates.get(service)
         if found is None:
-            found = [
-                self.build_candidate(state)
+            usable = [
+                state
                 for state in self.table.find_usable_nodes(service)
                 if state.name not in self.drained
             ]
+            subset = choose_subset(self.table.own_name, self.zone, usable)
+            found = [self.build_candidate(state) for state in subset]
             self.candidates[service] = found
         return found
 
