Carry control messages, the store and the admin port over one transport

Cause: gRPC, httpcore and uvicorn cost each node a third of a second of imports at every start, a third of its memory, and gRPC threads of its own; starts are what a restart of a large fleet pays for.

Change: control messages are HTTP requests to a CallServer, the store and the other nodes are called through HttpPool, the admin port is a CallApp. Bodies read as a whole are bounded.

--- a/bench/transports.py
+++ b/bench/transports.py
@@ -9,7 +9,7 @@
 import httpcore
 from grpc import aio
 
-from limpetshore.transport.asgi_server import AsgiServer
+from standins.asgi_server import AsgiServer
 from limpetshore.transport.http_client import Address, HttpPool
 
 BODY = b'x' * 1024
--- a/limpetshore/admin.py
+++ b/limpetshore/admin.py
@@ -8,14 +8,16 @@
 from limpetshore.metrics import Metrics
 from limpetshore.routing.guard import Guard
 from limpetshore.state.backends import parse_announcement
+from limpetshore.transport.call_server import CallApp, ServerRequest
 
 MAX_ANNOUNCEMENT_BYTES = 4096
 OK = 200
 BAD_REQUEST = 400
 NOT_FOUND = 404
+WRITE_METHODS = frozenset((b'POST', b'PUT'))
 
 
-class AdminApp:
+class AdminApp(CallApp):
     """Serve /metrics, /status and /announce."""
 
     def __init__(
@@ -31,40 +33,32 @@
         self.describe = describe
         self.on_announcement = on_announcement
 
-    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
-        """Serve one ASGI request."""
-        status, body = await self.answer(scope, receive)
+    async def serve(self, request: ServerRequest) -> None:
+        """Serve one request."""
+        status, body = await self.answer(request)
         headers = [(b'content-length', b'%d' % len(body))]
-        await send(
-            {
-                'type': 'http.response.start',
-                'status': status,
-                'headers': headers,
-            }
-        )
-        await send({'type': 'http.response.body', 'body': body})
+        request.send_complete(status, headers, body)
 
-    async def answer(self, scope: Any, receive: Any) -> tuple[int, bytes]:
+    async def answer(self, request: ServerRequest) -> tuple[int, bytes]:
         """Handle a request; return the HTTP status and body."""
-        path = scope['path']
-        if path == '/metrics':
+        if request.path == '/metrics':
             return OK, self.metrics.expose()
-        if path == '/status':
+        if request.path == '/status':
             return OK, msgspec.json.encode(self.describe())
-        if path == '/announce' and scope['method'] in {'POST', 'PUT'}:
-            return await self.handle_announcement(receive)
+        if request.path == '/announce' and request.method in WRITE_METHODS:
+            return await self.handle_announcement(request)
         return NOT_FOUND, b'paths are /metrics, /status and /announce\n'
 
     async def handle_announcement(
         self,
-        receive: Any,
+        request: ServerRequest,
     ) -> tuple[int, bytes]:
         """Apply an announcement of the local backend server.
 
         For an invalid announcement, return status 400 and its mistakes.
         """
-        content = await read_body(receive)
-        if len(content) > MAX_ANNOUNCEMENT_BYTES:
+        content = await request.read_whole_body(MAX_ANNOUNCEMENT_BYTES)
+        if content is None:
             return BAD_REQUEST, b'announcement is too long\n'
         announcement, mistakes = parse_announcement(content)
         if announcement is None:
@@ -74,17 +68,3 @@
         self.guard.apply_announcement(is_new=is_new)
         self.on_announcement()
         return OK, b'{}'
-
-
-async def read_body(receive: Any) -> bytes:
-    """Return a request body.
-
-    Reading stops when the body exceeds `MAX_ANNOUNCEMENT_BYTES`.
-    """
-    content = b''
-    while len(content) <= MAX_ANNOUNCEMENT_BYTES:
-        message = await receive()
-        content += message.get('body', b'')
-        if not message.get('more_body'):
-            break
-    return content
--- a/limpetshore/errors.py
+++ b/limpetshore/errors.py
@@ -64,6 +64,10 @@
     """Report a head, or a train of answers, that does not end."""
 
 
+class UnexpectedStatusError(TransportError):
+    """Report a complete answer whose status is not the one for success."""
+
+
 class PeerError(LimpetshoreError):
     """Report a failed control call to another node."""
 
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -27,7 +27,7 @@
 from limpetshore.decisions.conserved_budgets import ConservedBudgets
 from limpetshore.integrations import Integration, NativeIntegration
 from limpetshore.metrics import Metrics
-from limpetshore.protocol.control import ControlClient, ControlServer
+from limpetshore.protocol.control import ControlApp, ControlClient
 from limpetshore.protocol.messages import AnswerMeta, NodeState
 from limpetshore.routing.authentication import CallerAuthenticator
 from limpetshore.routing.guard import Guard
@@ -42,7 +42,6 @@
 from limpetshore.state.members import MemberTable, Status
 from limpetshore.state.policies import PolicyIndex
 from limpetshore.supervision import run_supervised
-from limpetshore.transport.asgi_server import AsgiServer
 from limpetshore.transport.call_server import CallServer
 
 logger = Logger(__name__)
@@ -51,6 +50,7 @@
 JOIN_POLL_S = 0.05
 # Part of `call.graceful_s` reserved for closing servers and clients.
 EXIT_MARGIN_S = 0.6
+CONTROL_GRACE_S = 0.2
 LEAVE_POLL_S = 0.05
 GC_THRESHOLDS = (20_000, 50, 100)
 
@@ -196,7 +196,7 @@
             parse_address(listen.peers),
             graceful_s=graceful_s,
         )
-        self.admin_server = AsgiServer(
+        admin_server = CallServer(
             AdminApp(
                 self.guard,
                 self.metrics,
@@ -206,7 +206,15 @@
             parse_address(listen.admin),
             graceful_s=1,
         )
-        self.extra_servers = self.integration.build_extra_servers(self)
+        self.control_server = CallServer(
+            ControlApp(self.gossip, self.metrics),
+            parse_address(listen.control),
+            graceful_s=CONTROL_GRACE_S,
+        )
+        self.side_servers = [
+            *self.integration.build_extra_servers(self),
+            admin_server,
+        ]
 
     def adopt_policy(self, index: PolicyIndex) -> None:
         """Apply a newer policy to all components."""
@@ -222,12 +230,6 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
-        control = ControlServer(
-            self.gossip,
-            self.settings.listen.control,
-            self.metrics,
-        )
-        await control.start()
         await self.start()
         logger.info(
             'the node accepts calls',
@@ -235,8 +237,9 @@
         )
         await wait_for_stop()
         await self.leave()
-        await control.stop()
-        await self.client.close()
+        self.control_server.stop()
+        await self.control_server.wait_stopped()
+        self.client.close()
         self.tasks.cancel_scope.cancel()
 
     async def leave(self) -> None:
@@ -255,8 +258,8 @@
     async def start(self) -> None:
         """Start the HTTP servers, then the background tasks."""
         servers = (
-            *self.extra_servers,
-            self.admin_server,
+            self.control_server,
+            *self.side_servers,
             self.peers_server,
             self.callers_server,
         )
@@ -309,8 +312,7 @@
             await self.peers_server.wait_stopped()
             await self.callers_server.wait_stopped()
         self.callers_server.stop()
-        self.admin_server.stop()
-        for server in self.extra_servers:
+        for server in self.side_servers:
             server.stop()
 
     async def identify_backend(self) -> None:
--- a/limpetshore/protocol/control.py
+++ b/limpetshore/protocol/control.py
@@ -1,19 +1,18 @@
-"""Exchange control messages between nodes: gRPC calls, MessagePack bodies."""
+"""Exchange control messages between nodes: HTTP calls, MessagePack bodies."""
 
-import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, NamedTuple
 
+import anyio
 import msgspec
-from grpc import (
-    StatusCode,
-    aio,
-    method_handlers_generic_handler,
-    unary_unary_rpc_method_handler,
-)
+from logbook import Logger
 
-from limpetshore.errors import PeerError
+from limpetshore.errors import (
+    PeerError,
+    TransportError,
+    UnexpectedStatusError,
+)
 from limpetshore.metrics import Metrics
 from limpetshore.protocol.messages import (
     Document,
@@ -25,24 +24,19 @@
     LendRequest,
     encode,
 )
+from limpetshore.transport.call_server import CallApp, ServerRequest
+from limpetshore.transport.http_client import Address, HttpConnection, HttpPool
+
+logger = Logger(__name__)
 
-GRPC_SERVICE = 'limpetshore.Control'
+PATH_PREFIX = '/limpetshore/control/'
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
-STOP_GRACE_S = 0.2
-
-CHANNEL_OPTIONS = (
-    ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
-    ('grpc.enable_retries', 0),
-    # Each channel opens a connection of its own: from the global pool, a new
-    # channel to an address would reuse a connection that delivers nothing.
-    ('grpc.use_local_subchannel_pool', 1),
-    ('grpc.initial_reconnect_backoff_ms', 100),
-    ('grpc.max_reconnect_backoff_ms', 1000),
-)
-SERVER_OPTIONS = (
-    ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
-    ('grpc.so_reuseport', 0),
-)
+# Less than the server's timeout of idle connections.
+MAX_IDLE_S = 30
+OK = 200
+BAD_REQUEST = 400
+NOT_FOUND = 404
+CONTENT_TOO_LARGE = 413
 
 
 class ControlHandler(ABC):
@@ -65,79 +59,82 @@
         return LendReply(0)
 
 
-class ControlServer:
-    """Serve control messages over gRPC."""
+class ControlMethod(NamedTuple):
+    """Hold the decoder of a kind of message, and what answers it."""
 
-    def __init__(
-        self,
-        handler: ControlHandler,
-        address: str,
-        metrics: Metrics,
-    ) -> None:
-        """Register the methods; calls are served only after `start`."""
+    decoder: msgspec.msgpack.Decoder
+    serve: Callable[[Any], Awaitable[Any]]
+
+
+class ControlApp(CallApp):
+    """Serve the control messages of other nodes."""
+
+    def __init__(self, handler: ControlHandler, metrics: Metrics) -> None:
+        """Register the methods."""
         self.metrics = metrics
-        self.server = aio.server(options=SERVER_OPTIONS)
-        methods = {
-            'Exchange': self.build_method_handler(
-                GossipMessage, handler.exchange
-            ),
-            'Fetch': self.build_method_handler(FetchRequest, handler.fetch),
-            'Grant': self.build_method_handler(GrantRequest, handler.grant),
-            'Lend': self.build_method_handler(LendRequest, handler.lend),
+        self.received = metrics.control_bytes.labels('received')
+        self.sent = metrics.control_bytes.labels('sent')
+        messages = {
+            'Exchange': (GossipMessage, handler.exchange),
+            'Fetch': (FetchRequest, handler.fetch),
+            'Grant': (GrantRequest, handler.grant),
+            'Lend': (LendRequest, handler.lend),
+        }
+        self.methods = {
+            PATH_PREFIX + name: ControlMethod(
+                msgspec.msgpack.Decoder(request_class), serve
+            )
+            for name, (request_class, serve) in messages.items()
         }
-        self.server.add_generic_rpc_handlers(
-            (method_handlers_generic_handler(GRPC_SERVICE, methods),)
-        )
-        self.server.add_insecure_port(address)
 
-    def build_method_handler(
-        self,
-        request_class: type,
-        serve: Callable[[Any], Awaitable[Any]],
-    ) -> Any:
-        """Return a gRPC handler that counts bytes and decodes requests.
+    async def serve(self, request: ServerRequest) -> None:
+        """Answer one message; refuse one that cannot be decoded."""
+        method = self.methods.get(request.path)
+        if method is None:
+            send_reply(request, NOT_FOUND)
+            return
+        encoded = await request.read_whole_body(MAX_MESSAGE_BYTES)
+        if encoded is None:
+            send_reply(request, CONTENT_TOO_LARGE)
+            return
+        self.received.inc(len(encoded))
+        try:
+            message = method.decoder.decode(encoded)
+        except msgspec.MsgspecError as error:
+            logger.info('refused a malformed control message: {0}', error)
+            self.metrics.bad_input.labels('peer_message').inc()
+            send_reply(request, BAD_REQUEST)
+            return
+        await self.answer(request, method, message)
+
+    async def answer(
+        self, request: ServerRequest, method: ControlMethod, message: Any
+    ) -> None:
+        """Send the reply to a message."""
+        try:
+            reply = encode(await method.serve(message))
+        except Exception:
+            self.metrics.report_defect('control')
+            raise
+        self.sent.inc(len(reply))
+        send_reply(request, OK, reply)
 
-        A request that cannot be decoded is answered with INVALID_ARGUMENT.
-        """
-        decoder = msgspec.msgpack.Decoder(request_class)
-        received = self.metrics.control_bytes.labels('received')
-        sent = self.metrics.control_bytes.labels('sent')
-
-        async def serve_bytes(  # noqa: WPS430
-            encoded: bytes,
-            context: Any,
-        ) -> bytes:
-            received.inc(len(encoded))
-            try:
-                request = decoder.decode(encoded)
-            except msgspec.MsgspecError as error:
-                self.metrics.bad_input.labels('peer_message').inc()
-                await context.abort(
-                    StatusCode.INVALID_ARGUMENT,
-                    str(error),
-                )
-            reply = encode(await serve(request))
-            sent.inc(len(reply))
-            return reply
-
-        return unary_unary_rpc_method_handler(serve_bytes)
-
-    async def start(self) -> None:
-        """Accept calls from now on."""
-        await self.server.start()
-
-    async def stop(self) -> None:
-        """Close the port; open calls get `STOP_GRACE_S` seconds to finish."""
-        await self.server.stop(STOP_GRACE_S)
+
+def send_reply(
+    request: ServerRequest, status: int, encoded: bytes = b''
+) -> None:
+    """Send a complete answer."""
+    headers = [(b'content-length', b'%d' % len(encoded))]
+    request.send_complete(status, headers, encoded)
 
 
 class ControlClient:
-    """Send control messages to other nodes, over one channel per address."""
+    """Send control messages to other nodes, over kept connections."""
 
     def __init__(self, metrics: Metrics) -> None:
-        """Create the client; channels are opened by the first call."""
+        """Create the client; connections are opened by the first calls."""
         self.metrics = metrics
-        self.channels: dict[str, aio.Channel] = {}
+        self.pools: dict[str, HttpPool] = {}
 
     async def call(  # noqa: WPS211
         self,
@@ -149,46 +146,63 @@
     ) -> Any:
         """Send a message and return the reply, or raise PeerError.
 
-        A failed call closes the channel: its connection may never deliver
-        anything again, while a new connection to the same address works.
+        A failed call closes the kept connections: they may never deliver
+        anything again, while a new one to the same address works.
         """
         encoded = encode(request)
         byte_counters = self.metrics.control_bytes
         byte_counters.labels('sent').inc(len(encoded))
         try:
-            reply = await self.get_channel(address).unary_unary(
-                f'/{GRPC_SERVICE}/{method}',
-            )(encoded, timeout=timeout_s)
+            with anyio.fail_after(timeout_s):
+                reply = await self.send(address, method, encoded)
             decoded = msgspec.msgpack.decode(reply, type=reply_class)
-        except asyncio.CancelledError as error:
-            if asyncio.current_task().cancelling():
-                raise
-            # Not a cancellation of this task: another call closed the shared
-            # channel, and gRPC cancels all open calls of a closed channel.
-            raise PeerError(f'{address}: the channel was closed') from error
-        except (aio.AioRpcError, msgspec.MsgspecError) as error:
+        except (TransportError, TimeoutError, msgspec.MsgspecError) as error:
             self.metrics.control_calls.labels(method, 'failed').inc()
-            await self.close_channel(address)
-            raise PeerError(f'{address}: {error}') from error
+            self.forget(address)
+            raise PeerError(f'{address}: {error!r}') from error
         self.metrics.control_calls.labels(method, 'ok').inc()
         byte_counters.labels('received').inc(len(reply))
         return decoded
 
-    def get_channel(self, address: str) -> aio.Channel:
-        """Return the open channel to an address, or a new one."""
-        channel = self.channels.get(address)
-        if channel is None:
-            channel = aio.insecure_channel(address, options=CHANNEL_OPTIONS)
-            self.channels[address] = channel
-        return channel
-
-    async def close_channel(self, address: str) -> None:
-        """Close the channel to an address, if there is one."""
-        channel = self.channels.pop(address, None)
-        if channel is not None:
-            await channel.close()
-
-    async def close(self) -> None:
-        """Close all channels; calls that are still open fail."""
-        for address in list(self.channels):
-            await self.close_channel(address)
+    async def send(self, address: str, method: str, encoded: bytes) -> bytes:
+        """Send an encoded message; return the encoded reply."""
+        async with self.get_pool(address).connection() as connection:
+            await connection.send_head(
+                b'POST',
+                (PATH_PREFIX + method).encode(),
+                [
+                    (b'host', b'peer'),
+                    (b'content-length', b'%d' % len(encoded)),
+                ],
+                encoded,
+            )
+            return await read_reply(connection)
+
+    def get_pool(self, address: str) -> HttpPool:
+        """Return the connection pool of an address."""
+        pool = self.pools.get(address)
+        if pool is None:
+            host, _, port = address.rpartition(':')
+            pool = HttpPool(Address(host, int(port)), MAX_IDLE_S)
+            self.pools[address] = pool
+        return pool
+
+    def forget(self, address: str) -> None:
+        """Close the kept connections to an address."""
+        pool = self.pools.pop(address, None)
+        if pool is not None:
+            pool.close_idle()
+
+    def close(self) -> None:
+        """Close all kept connections."""
+        for address in list(self.pools):
+            self.forget(address)
+
+
+async def read_reply(connection: HttpConnection) -> bytes:
+    """Return the body of a reply; raise UnexpectedStatusError if refused."""
+    head = await connection.read_head()
+    body = await connection.read_all(MAX_MESSAGE_BYTES)
+    if head.status != OK:
+        raise UnexpectedStatusError(f'status {head.status}')
+    return body
--- a/limpetshore/routing/guard.py
+++ b/limpetshore/routing/guard.py
@@ -13,6 +13,7 @@
     ConnectError,
     ConnectionLostError,
     RefusedError,
+    TransportError,
     TruncatedError,
     refuse,
 )
@@ -285,7 +286,7 @@
             extra = self.build_headers(request)
             await send_request(connection, request.inbound, extra)
             head = await self.read_matching_head(connection, request)
-        except (ConnectionLostError, TruncatedError) as error:
+        except TransportError as error:
             raise refuse(
                 Reason.BROKEN,
                 str(error),
--- a/limpetshore/settings.py
+++ b/limpetshore/settings.py
@@ -160,7 +160,7 @@
     'node.region': 'Region to which the availability zone belongs',
     'listen.callers': 'Address for callers and the local backend server',
     'listen.peers': 'Address for calls from other nodes',
-    'listen.control': 'Address for control messages from other nodes (gRPC)',
+    'listen.control': 'Address for control messages from other nodes',
     'listen.admin': 'Address for metrics, status and announcements',
     'listen.peers_seen_as': (
         'Address at which other nodes reach `peers`, if not the same'
--- a/limpetshore/state/store.py
+++ b/limpetshore/state/store.py
@@ -5,16 +5,17 @@
 from typing import NamedTuple
 
 import anyio
-import httpcore
 import msgspec
 
 from limpetshore.errors import (
+    ConnectError,
     StoreConflictError,
     StoreError,
     StoreUnavailableError,
+    TransportError,
 )
 from limpetshore.metrics import Metrics
-from limpetshore.transport.http_client import Address
+from limpetshore.transport.http_client import Address, Headers, HttpPool
 
 MUST_NOT_EXIST = 0
 OK = 200
@@ -76,6 +77,14 @@
         """Wait up to `wait_s` seconds for changes after a revision."""
 
 
+class StoreResponse(NamedTuple):
+    """Hold a complete answer of the object API."""
+
+    status: int
+    headers: Headers
+    content: bytes
+
+
 class HttpStoreClient:
     """Send HTTP requests to an object API and count them."""
 
@@ -86,10 +95,10 @@
         metrics: Metrics,
     ) -> None:
         """Configure the address of the API and the timeout of a request."""
-        self.base_url = f'http://{address}'
+        self.host = str(address).encode()
         self.timeout_s = timeout_s
         self.metrics = metrics
-        self.pool = httpcore.AsyncConnectionPool(keepalive_expiry=KEEP_ALIVE_S)
+        self.pool = HttpPool(address, KEEP_ALIVE_S, timeout_s)
 
     async def call(  # noqa: WPS211
         self,
@@ -97,40 +106,48 @@
         method: str,
         target: str,
         *,
-        headers: list[tuple[bytes, bytes]] | None = None,
+        headers: Headers | None = None,
         content: bytes | None = None,
         timeout_s: float = 0,
-    ) -> httpcore.Response:
+    ) -> StoreResponse:
         """Send a request and count its result.
 
         `operation` is the label under which the result is counted. A
         `timeout_s` of 0 stands for the default timeout. Raise
         StoreUnavailableError if there is no answer.
         """
+        all_headers = [(b'host', self.host), *(headers or [])]
+        if content is not None:
+            all_headers.append((b'content-length', b'%d' % len(content)))
         try:
             with anyio.fail_after(timeout_s or self.timeout_s):
-                response = await self.pool.request(
-                    method,
-                    self.base_url + target,
-                    headers=headers,
-                    content=content,
+                response = await self.send(
+                    method, target, all_headers, content or b''
                 )
-        except (httpcore.ConnectError, OSError) as error:
+        except ConnectError as error:
             self.metrics.store_calls.labels(operation, 'unavailable').inc()
             raise StoreUnavailableError(f'{error!r}') from error
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
+        except (TransportError, TimeoutError) as error:
+            # Other connections may have gone silent at the same time.
+            self.pool.close_idle()
             self.metrics.store_calls.labels(operation, 'lost').inc()
             raise StoreUnavailableError(f'{error!r}') from error
         self.metrics.store_calls.labels(operation, str(response.status)).inc()
         return response
 
-    def raise_for_status(
-        self, response: httpcore.Response, operation: str
-    ) -> None:
+    async def send(
+        self, method: str, target: str, headers: Headers, content: bytes
+    ) -> StoreResponse:
+        """Send a request and read its whole answer."""
+        async with self.pool.connection() as connection:
+            await connection.send_head(
+                method.encode(), target.encode(), headers, content
+            )
+            head = await connection.read_head()
+            body = await connection.read_all()
+        return StoreResponse(head.status, head.headers, body)
+
+    def raise_for_status(self, response: StoreResponse, operation: str) -> None:
         """Raise the error for the status of an answer unless it is 200."""
         if response.status == CONFLICT:
             raise StoreConflictError(
@@ -143,9 +160,9 @@
         if response.status != OK:
             raise StoreError(f'{operation}: status {response.status}')
 
-    async def close(self) -> None:
-        """Close all connections."""
-        await self.pool.aclose()
+    def close(self) -> None:
+        """Close all idle connections."""
+        self.pool.close_idle()
 
 
 class HttpObjectStore(ObjectStore):
@@ -221,15 +238,15 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self.client.close()
+        self.client.close()
 
 
-def read_version(response: httpcore.Response) -> int:
+def read_version(response: StoreResponse) -> int:
     """Return the object version in the headers of an answer."""
     return int(dict(response.headers).get(b'x-version', b'0'))
 
 
-def read_changes(response: httpcore.Response) -> Changes:
+def read_changes(response: StoreResponse) -> Changes:
     """Decode a list of objects; raise StoreError if it is malformed."""
     try:
         listing = msgspec.json.decode(response.content)
--- a/limpetshore/transport/call_server.py
+++ b/limpetshore/transport/call_server.py
@@ -120,6 +120,20 @@
         self.connection.resume_reading()
         return received
 
+    async def read_whole_body(self, max_bytes: int) -> bytes | None:
+        """Return the body, or None if it is longer than `max_bytes`."""
+        chunks: list[bytes] = []
+        body_bytes = 0
+        while not self.is_disconnected:
+            chunks.append(await self.read_body())
+            body_bytes += len(chunks[-1])
+            if body_bytes > max_bytes:
+                self.is_kept_alive = False
+                return None
+            if self.is_body_complete and not self.body:
+                break
+        return b''.join(chunks)
+
     async def wait_turn(self) -> None:
         """Wait until all earlier requests of the connection are answered."""
         while not self.is_oldest and not self.is_disconnected:
--- a/limpetshore/transport/http_client.py
+++ b/limpetshore/transport/http_client.py
@@ -26,6 +26,7 @@
 # Of an answer to an earlier request, which is discarded.
 MAX_SKIPPED_BYTES = 65536
 MAX_QUEUED_RESPONSES = 4
+MAX_BODY_BYTES = 16777216  # of a body that is read as a whole
 CONNECT_TIMEOUT_S = 1.0
 TCP_USER_TIMEOUT_MS = 5000
 MAX_INFORMATIONAL_STATUS = 199
@@ -303,15 +304,11 @@
         """Discard an answer to an earlier request and prepare for the next.
 
         The connection is not reused after that. Raise TimeoutError if the
-        answer does not end in time, TruncatedError if it is too long.
+        answer does not end in time, TooLongError if it is too long.
         """
         self.must_close = True
-        deadline = self.loop.time() + timeout_s
-        skipped_bytes = 0
-        while chunk := await self.read_chunk(deadline - self.loop.time()):
-            skipped_bytes += len(chunk)
-            if skipped_bytes > MAX_SKIPPED_BYTES:
-                raise TruncatedError(f'{self.address} sent a stray answer')
+        with anyio.fail_after(timeout_s):
+            await self.read_all(MAX_SKIPPED_BYTES)
         self.is_reusable = False
         self.reader.advance()
 
@@ -323,11 +320,15 @@
             self.is_paused = False
             self.transport.resume_reading()
 
-    async def read_all(self) -> bytes:
-        """Return the rest of the body."""
+    async def read_all(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+        """Return the rest of the body; raise TooLongError if it has more."""
         chunks = []
+        body_bytes = 0
         while chunk := await self.read_chunk():
             chunks.append(chunk)
+            body_bytes += len(chunk)
+            if body_bytes > max_bytes:
+                raise TooLongError(f'{self.address} sent a body too long')
         return b''.join(chunks)
 
     def find_deadline(self, timeout_s: float | None) -> float | None:
@@ -436,7 +437,7 @@
         self.address = address
         self.max_idle_s = max_idle_s
         self.connect_s = connect_s
-        self.last_received_at = clock.now()
+        self.last_received_at = float('-inf')
         self.idle: list[HttpConnection] = []
 
     async def acquire(self, max_idle_s: float | None = None) -> HttpConnection:
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -11,7 +11,7 @@
 
 from limpetshore import clock
 from limpetshore.settings import parse_address
-from limpetshore.transport.asgi_server import AsgiServer
+from standins.asgi_server import AsgiServer
 from standins.backend_server import BackendApp
 from standins.fault_proxy import FaultProxy
 from standins.load_sender import send_load
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -3,11 +3,9 @@
 import json
 from urllib.parse import parse_qsl, urlsplit
 
-import httpcore
-
 from limpetshore.metrics import Metrics
 from limpetshore.settings import parse_address
-from limpetshore.state.store import HttpStoreClient
+from limpetshore.state.store import HttpStoreClient, StoreResponse
 
 PAGE_SIZE = 2
 
@@ -43,7 +41,7 @@
         query = dict(parse_qsl(parts.query))
         body = json.loads(content) if content else None
         status, answer = self.answer(method, path, query, body)
-        return await build_response(status, json.dumps(answer).encode())
+        return StoreResponse(status, [], json.dumps(answer).encode())
 
     def answer(self, method, path, query, body):
         """Return the status and the JSON body for one call."""
@@ -111,10 +109,3 @@
             'has_more': len(entries) > PAGE_SIZE,
             'store_revision': self.revision,
         }
-
-
-async def build_response(status, content):
-    """Return a response whose body has been read."""
-    response = httpcore.Response(status, content=content)
-    await response.aread()
-    return response
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -36,9 +36,10 @@
 from limpetshore.settings import check_settings
 from limpetshore.state.backends import LocalBackend
 from limpetshore.state.policies import PolicyIndex, decode_policy
+from limpetshore.state.store import StoreResponse
 from limpetshore.transport.http_client import ResponseHead
 from limpetshore.verdicts import Reason, Refusal, Verdict
-from tests.platform_store import PlatformStoreClient, build_response
+from tests.platform_store import PlatformStoreClient
 
 ROOT = Path(__file__).parent.parent
 ADDRESS = '10.0.0.9:8080'
@@ -218,7 +219,7 @@
 
     class GarblingStoreClient(PlatformStoreClient):
         async def call(self, *arguments, **named):
-            return await build_response(200, garbage)
+            return StoreResponse(200, [], garbage)
 
     async def scenario():
         with pytest.raises(StoreError):
