Start budgets with a few tokens after a restart

Change: fleet.restart_tokens (default 0) are given to the owners of each budget together when a node first knows customers and members.

--- a/limpetshore/decisions/conserved_budgets.py
+++ b/limpetshore/decisions/conserved_budgets.py
@@ -99,7 +99,8 @@
             return
         if self.share.rate:
             accrued = self.share.rate * elapsed_s
-            self.tokens = min(self.share.burst, self.tokens + accrued)
+            full = max(self.tokens, self.share.burst)
+            self.tokens = min(full, self.tokens + accrued)
         elif elapsed_s > BORROWED_RETENTION_S:
             self.tokens = 0
         else:
@@ -112,6 +113,11 @@
         self.share = share
         self.tokens = min(self.tokens, share.burst)
 
+    def start(self, count: float) -> None:
+        """Add tokens at the start, also beyond the burst."""
+        self.refill()
+        self.tokens += count
+
     def take_token(self) -> bool:
         """Spend one token; return False if there is none."""
         self.refill()
@@ -147,10 +153,19 @@
 class ConservedBudgets:
     """Manage this node's shares of all budgets, and know the other owners."""
 
-    def __init__(self, table: MemberTable, rng: random.Random) -> None:
-        """Start without customers; the owners come from the member table."""
+    def __init__(
+        self,
+        table: MemberTable,
+        rng: random.Random,
+        restart_tokens: float = 0,
+    ) -> None:
+        """Start without customers; the owners come from the member table.
+
+        The owners of a budget start with `restart_tokens` together.
+        """
         self.table = table
         self.rng = rng
+        self.restart_tokens = restart_tokens
         self.customers: dict[str, Customer] = {}
         self.buckets: dict[str, OwnedBucket] = {}
         self.owners: dict[str, Owners] = {}
@@ -169,6 +184,7 @@
                 )
             self.update_share(name, customer)
         self.customers = customers
+        self.start_buckets()
 
     def update_owners(self) -> None:
         """Recompute the shares if the set of owners has changed.
@@ -185,6 +201,21 @@
         )
         if names != self.member_names:
             self.change_members(names)
+            self.start_buckets()
+
+    def start_buckets(self) -> None:
+        """Add the initial tokens once customers and members are known.
+
+        After a restart of all nodes, the callers of all customers return at
+        once, while empty buckets would only begin to refill.
+        """
+        if not self.customers or not self.member_names:
+            return
+        for name, bucket in self.buckets.items():
+            if bucket.share.rate:
+                owner_count = len(self.owners[name].names)
+                bucket.start(self.restart_tokens / owner_count)
+        self.restart_tokens = 0
 
     def change_members(self, names: list[str]) -> None:
         """Recompute the owners of each budget that the change concerns."""
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -124,7 +124,9 @@
             self.settings.admission.level_half_life_s,
             self.rng,
         )
-        self.budgets = ConservedBudgets(self.table, self.rng)
+        self.budgets = ConservedBudgets(
+            self.table, self.rng, fleet.restart_tokens
+        )
         self.gossip.budgets = self.budgets
         self.fencing.reconnect_callbacks.append(self.budgets.clear)
         self.prefetching_limiter = PrefetchingLimiter(
--- a/limpetshore/settings.py
+++ b/limpetshore/settings.py
@@ -116,6 +116,7 @@
     budgets: Annotated[str, msgspec.Meta(pattern='^(granted|conserved)$')] = (
         'granted'
     )
+    restart_tokens: Annotated[float, msgspec.Meta(ge=0, le=1000)] = 0
     shards_per_customer: Annotated[int, msgspec.Meta(ge=1, le=16)] = 4
     watchers: Annotated[int, msgspec.Meta(ge=1, le=64)] = 3
     id_window_s: Seconds = 600
@@ -252,6 +253,10 @@
         'How nodes share rate budgets: granted by the holders of shards, or '
         'conserved in shares that nodes own and lend'
     ),
+    'fleet.restart_tokens': (
+        'Tokens with which the owners of a conserved budget start together, '
+        'which may exceed the burst by as much'
+    ),
     'fleet.shards_per_customer': (
         'Maximum number of nodes among which the budget of a customer is '
         'divided'
--- a/tests/test_conserved_budgets.py
+++ b/tests/test_conserved_budgets.py
@@ -42,7 +42,7 @@
         return 0 if self.rng.random() < self.loss else lent
 
 
-def build_budgets(count, customer, rng):
+def build_budgets(count, customer, rng, restart_tokens=0):
     """Return the budgets of several nodes, all members of one fleet."""
     names = [f'node-{number}' for number in range(count)]
     found = {}
@@ -50,7 +50,7 @@
         table = MemberTable(build_node_state(name=name))
         for other in names:
             table.merge(build_node_state(name=other, status=int(Status.READY)))
-        budgets = ConservedBudgets(table, rng)
+        budgets = ConservedBudgets(table, rng, restart_tokens)
         budgets.update_owners()
         budgets.update_customers({'harbour': customer})
         found[name] = budgets
@@ -434,3 +434,93 @@
         return lender.request_count
 
     assert run_on_mock_clock(run) <= 3 * 10 * 2 + 3
+
+
+RESTART_TOKENS = 6
+
+
+async def restart_all(rng, *, nodes, entry, offered_rate, restarts):
+    """Send requests to all nodes, which restart together some times.
+
+    Requests that came while the nodes were down are sent again right after.
+    Return the times of admission, and those of refusal after the last restart.
+    """
+    limit = build_limit(entry)
+    customer = Customer(rate=limit.rate, burst=limit.burst)
+    admitted, refused = [], []
+    for started_at, stopped_at in restarts:
+        await anyio.sleep(max(0, started_at - clock.now()))
+        refused.clear()
+        async with anyio.create_task_group() as tasks:
+            budgets = build_budgets(nodes, customer, rng, RESTART_TOKENS)
+            lender = InMemoryLendClient(budgets, rng)
+            borrowers = [
+                BorrowingLimiter(own, lender, tasks, 0.05)
+                for own in budgets.values()
+            ]
+
+            async def send_one():
+                try:
+                    await rng.choice(borrowers).spend('harbour')
+                except RefusedError:
+                    refused.append(clock.now())
+                    return
+                admitted.append(clock.now())
+
+            for _ in range(int(offered_rate * 1.5)):
+                await anyio.sleep(rng.expovariate(offered_rate * 3))
+                tasks.start_soon(send_one)
+            while clock.now() < stopped_at:
+                await anyio.sleep(rng.expovariate(offered_rate))
+                tasks.start_soon(send_one)
+            tasks.cancel_scope.cancel()
+    return admitted, refused
+
+
+def test_customers_within_their_quota_are_served_after_a_restart_of_all():
+    """Serve the callers that return at once after a loss of power.
+
+    The nodes started with empty buckets: on a day with 194 nodes, 257 of
+    the 311 requests lost were refused for their rate within 4 s of the restart.
+    """
+    entry = CustomerEntry(rate=3, burst=3)
+    refused_count, admitted_count = 0, 0
+    for seed in range(40):
+        rng = random.Random(seed)
+
+        async def run(rng=rng):
+            return await restart_all(
+                rng,
+                nodes=30,
+                entry=entry,
+                offered_rate=1.8,
+                restarts=[(10, 14)],
+            )
+
+        admitted, refused = run_on_mock_clock(run)
+        refused_count += len(refused)
+        admitted_count += len(admitted)
+    assert refused_count <= 0.02 * (refused_count + admitted_count)
+
+
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize(('rate', 'burst'), [(3, 3), (40, 60)])
+def test_two_restarts_within_a_window_stay_within_the_tolerance(
+    seed, rate, burst
+):
+    """Stay within the tolerated bound at many times the rate."""
+    rng = random.Random(seed)
+    entry = CustomerEntry(rate=rate, burst=burst)
+
+    async def run():
+        return await restart_all(
+            rng,
+            nodes=12,
+            entry=entry,
+            offered_rate=rate * 8,
+            restarts=[(1, 11), (11.5, 13), (13.5, 20)],
+        )
+
+    admitted, _ = run_on_mock_clock(run)
+    tolerated = (rate * WINDOW_S + burst) * 1.1 + 20
+    assert max_in_window(sorted(admitted)) <= tolerated
