Keep the connection of a refusal, but not for the same request

Change: a buffered body is taken, and the connection remembers the ids refused on it. A retry of the same request uses another connection: a second copy of the refusal would name the retry as well.

--- a/limpetshore/routing/guard.py
+++ b/limpetshore/routing/guard.py
@@ -63,6 +63,7 @@
 MIN_SERVER_ERROR_STATUS = 500
 MAX_STALE_ANSWERS = 3
 MAX_FRESH_IDLE_S = 0.5
+MAX_REFUSED_IDS = 100  # of the requests refused on one connection
 
 
 class Guard:
@@ -266,11 +267,26 @@
         """
         max_idle_s = None if self.meta.is_repeatable else MAX_FRESH_IDLE_S
         try:
-            self.connection = await self.guard.pool.acquire(max_idle_s)
+            connection = await self.guard.pool.acquire(max_idle_s)
+            while not self.may_carry_request(connection):
+                connection.close()
+                connection = await self.guard.pool.acquire(max_idle_s)
         except ConnectError as error:
             self.guard.backend.mark_unreachable()
             raise refuse(Reason.UNREACHABLE, str(error)) from error
-        return self.connection
+        self.connection = connection
+        return connection
+
+    def may_carry_request(self, connection: HttpConnection) -> bool:
+        """Tell whether no earlier refusal can be taken for that of this call.
+
+        A second copy of a refusal names the same request as its retry does.
+        """
+        refused_ids = connection.refused_ids
+        return (
+            self.meta.request_id not in refused_ids
+            and len(refused_ids) < MAX_REFUSED_IDS
+        )
 
     async def send_and_wait(
         self,
@@ -303,8 +319,8 @@
         elif not_run_reason is not None:
             self.guard.admission.limit.observe_shed()
         if not_run_reason is not None:
-            # A second copy of the refusal would name a retry of this request.
-            connection.must_close = True
+            connection.refused_ids.add(request.meta.request_id)
+            connection.take_buffered_body()  # so that it can be used again
             self.release_request_id(request.meta)
             raise refuse(not_run_reason, 'the server did not run the request')
         self.has_failed = head.status >= MIN_SERVER_ERROR_STATUS
--- a/limpetshore/transport/http_client.py
+++ b/limpetshore/transport/http_client.py
@@ -177,6 +177,7 @@
         self.parse_error: Exception | None = None
         self.must_close = False
         self.request_count = 0
+        self.refused_ids: set[str] = set()
         self.pool: HttpPool | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
