--- a/limpetshore/decisions/conserved_budgets.py
+++ b/limpetshore/decisions/conserved_budgets.py
@@ -301,19 +301,29 @@
             bucket.add_tokens(count)
 
     def choose_lenders(self, customer: str, count: int) -> list[str]:
-        """Return up to `count` reachable owners in random order."""
-        found = self.owners.get(customer, NO_OWNERS)
-        owners = [
-            name
-            for name in found.names
-            if name != self.table.own_name and self.is_reachable(name)
-        ]
-        return self.rng.sample(owners, min(count, len(owners)))
-
-    def is_reachable(self, name: str) -> bool:
-        """Return whether a node is neither suspected, dead nor gone."""
+        """Return up to `count` owners in random order, suspected ones last.
+
+        After a restart of all, many nodes are suspected that only started a
+        moment later.
+        """
+        found = self.owners.get(customer, NO_OWNERS).names
+        lenders: list[str] = []
+        for is_suspected in (False, True):
+            owners = [
+                name
+                for name in found
+                if name != self.table.own_name
+                and self.may_lend(name, is_suspected=is_suspected)
+            ]
+            lenders += self.rng.sample(owners, len(owners))
+        return lenders[:count]
+
+    def may_lend(self, name: str, *, is_suspected: bool) -> bool:
+        """Return whether a node is alive, or only suspected not to be."""
         state = self.table.get(name)
-        return state is not None and state.status < Status.SUSPECT
+        if state is None or state.status > Status.SUSPECT:
+            return False
+        return (state.status == Status.SUSPECT) == is_suspected
 
     def time_to_token(self, customer: str) -> float:
         """Return the mean seconds between tokens of all owners together."""
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -349,9 +349,11 @@
             if self.seen_members_version != self.table.version:
                 self.seen_members_version = self.table.version
                 self.update_members()
-            if not self.table.is_joining:
-                self.budgets.update_owners()
             self.update_gauges()
+            if self.table.is_joining:
+                await anyio.sleep(JOIN_POLL_S)
+                continue
+            self.budgets.update_owners()
             await anyio.sleep(UPDATE_PERIOD_S)
 
     def publish_own_state(self) -> None:
