Ignore lends that the borrower did not ask for

Cause: the number of tokens in a reply was added to the budget as it came, negative or of any size.

Change: a reply outside of what was asked for is logged, counted and ignored; a request for fewer than no tokens lends none.

--- a/limpetshore/coordination/token_clients.py
+++ b/limpetshore/coordination/token_clients.py
@@ -112,4 +112,13 @@
         except PeerError as error:
             logger.info('no tokens borrowed from {0}: {1}', name, error)
             return 0
+        if not 0 <= reply.lent <= request.wanted:
+            self.client.metrics.bad_input.labels('lend_reply').inc()
+            logger.error(
+                'ignored {0} tokens from {1}, which was asked for {2}',
+                reply.lent,
+                name,
+                request.wanted,
+            )
+            return 0
         return reply.lent
--- a/limpetshore/decisions/conserved_budgets.py
+++ b/limpetshore/decisions/conserved_budgets.py
@@ -132,8 +132,9 @@
         Lend half of the tokens, rounded up to whole ones.
         """
         self.refill()
+        wanted = max(0, wanted)
         lendable = min(math.ceil(self.tokens / 2), int(self.tokens))
-        lent = max(0, min(wanted, lendable, MAX_LENT_TOKENS))
+        lent = min(wanted, lendable, MAX_LENT_TOKENS)
         self.tokens -= lent
         return lent
 
