Go over the candidates of a request fewer times

Change: the search for room in the own zone ends at the first server of another one, and the mean service time is summed in place.

Measured: tests/test_balancing.py pass; the choice is the same.

--- a/limpetshore/decisions/balancing.py
+++ b/limpetshore/decisions/balancing.py
@@ -118,13 +118,13 @@
     zone_penalty: float
 
     def has_local_room(self, mean_time_s: float, now: float) -> bool:
-        """Tell whether the server is in the own zone and can take a request.
+        """Tell whether a server of the own zone can take a request.
 
         A report of a high load that is older than `LOAD_EXPIRY_S` counts no
         longer: a server that is avoided sends no newer one.
         """
         stats = self.stats
-        if self.zone_penalty or stats.failed_share > MAX_LOCAL_FAILED_SHARE:
+        if stats.failed_share > MAX_LOCAL_FAILED_SHARE:
             return False
         if stats.service_time_s > mean_time_s * MAX_LOCAL_SLOWNESS:
             return False
@@ -288,21 +288,24 @@
     Traffic between zones is dear, and slower. A zone whose servers are full,
     slow or failing uses those of all zones.
     """
-    mean_time_s = mean_service_time(candidates)
     now = clock.now()
-    local = [
-        candidate
-        for candidate in candidates
-        if candidate.has_local_room(mean_time_s, now)
-    ]
+    mean_time_s = mean_service_time(candidates)
+    local = []
+    for candidate in candidates:
+        if candidate.zone_penalty:
+            break  # the servers of the own zone come first
+        if candidate.has_local_room(mean_time_s, now):
+            local.append(candidate)
     return local or candidates
 
 
 def mean_service_time(candidates: list[Candidate]) -> float:
     """Return the mean of the known service times, 1 if none is known."""
-    known = [
-        candidate.stats.service_time_s
-        for candidate in candidates
-        if candidate.stats.service_time_s
-    ]
-    return sum(known) / len(known) if known else 1
+    total_s: float = 0
+    known_count = 0
+    for candidate in candidates:
+        service_time_s = candidate.stats.service_time_s
+        if service_time_s:
+            total_s += service_time_s
+            known_count += 1
+    return total_s / known_count if known_count else 1
