Keep the word of the store fresh where the watchers do not have it

Cause: with the three watchers turned away by the store, the age of the last read reached 5.2 s at nodes without traffic, and 4.7 s in a partition without watchers (tests/test_store_reading.py, 30 nodes): keys are refused from 4.5 s on. Idle nodes asked only relays that were as old as they, and noticed late that it was their turn.

Change: from the age at which others may have taken over, a node also asks a watcher and one of the first two substitutes, at the same time; a node of any rank reads the store by itself between 3.5 and 4 s, at most once in 5 s; the pause of an idle node ends when the age can have passed the takeover age.

--- a/limpetshore/coordination/gossip.py
+++ b/limpetshore/coordination/gossip.py
@@ -9,7 +9,7 @@
 from limpetshore import clock
 from limpetshore.coordination.fleet import LEDGER_KIND, POLICY_KIND, FleetState
 from limpetshore.decisions.conserved_budgets import ConservedBudgets
-from limpetshore.decisions.watching import find_parent, list_children
+from limpetshore.decisions.watching import list_children, list_sources
 from limpetshore.errors import PeerError
 from limpetshore.protocol.control import ControlClient, ControlHandler
 from limpetshore.protocol.messages import (
@@ -96,14 +96,18 @@
             await anyio.sleep(max(REFRESH_PERIOD_S * jitter, remaining_s))
 
     async def refresh(self) -> None:
-        """Exchange with the parent among the relays, or with a watcher."""
-        watchers = self.settings.watchers
-        parent = self.ranking.find(find_parent(self.ranking.rank(), watchers))
-        if parent is not None and await self.exchange_with(parent.control):
-            return
-        watcher = self.ranking.find(self.rng.randrange(watchers))
-        if watcher is not None and watcher != parent:
-            await self.exchange_with(watcher.control)
+        """Exchange with the nodes that may have read the store later."""
+        ranks = list_sources(
+            self.ranking.rank(),
+            self.settings.watchers,
+            self.fleet.fencing.store_age_s,
+            self.rng,
+        )
+        found = [self.ranking.find(rank) for rank in ranks]
+        async with anyio.create_task_group() as tasks:
+            for node in found:
+                if node is not None:
+                    tasks.start_soon(self.exchange_with, node.control)
 
     async def run_pushes(self) -> None:
         """Exchange with some peers at each requested push until cancelled.
--- a/limpetshore/coordination/store_sync.py
+++ b/limpetshore/coordination/store_sync.py
@@ -67,6 +67,7 @@
         self.is_unavailable = False
         self.failures = 0
         self.started_at = clock.now()
+        self.attempted_at = float('-inf')
         self.random_share = rng.random()
 
     async def run(self) -> None:
@@ -123,6 +124,7 @@
                 self.fleet.fencing.store_age_s, INITIAL_AGE_S + since_start_s
             ),
             peer_age_s=min(self.gossip.peer_age_s, since_start_s),
+            attempt_age_s=clock.now() - self.attempted_at,
         )
 
     async def sync_once(self) -> None:
@@ -137,6 +139,7 @@
             self.revision = None
             await anyio.sleep(self.choose_pause_s(news))
             return
+        self.attempted_at = clock.now()
         if self.revision is None:
             await self.read_documents()
         else:
@@ -150,8 +153,8 @@
         a second a second at most.
         """
         remaining_s = TAKEOVER_AGE_S - news.store_age_s
-        pause_s = min(MAX_IDLE_PAUSE_S, max(MIN_IDLE_PAUSE_S, remaining_s))
-        return self.jitter(pause_s)
+        longest_s = self.jitter(MAX_IDLE_PAUSE_S)
+        return min(longest_s, max(MIN_IDLE_PAUSE_S, remaining_s))
 
     async def read_documents(self) -> None:
         """Read all documents."""
--- a/limpetshore/decisions/watching.py
+++ b/limpetshore/decisions/watching.py
@@ -5,6 +5,7 @@
 hears too little asks its parent in a tree of relays.
 """
 
+import random
 from typing import NamedTuple
 
 # Nodes of the next ranks read the store one after the other once its last read
@@ -14,16 +15,25 @@
 MAX_SUBSTITUTES = 8
 # A node that no other node answers reads the store by itself.
 ISOLATED_AGE_S = 2.5
-# A node of any rank reads the store then, at random within the same time again.
-STALE_AGE_S = 10.0
+# A node of any rank reads the store by itself before its keys are refused, at
+# random within the spread and not again for the period.
+LAST_RESORT_AGE_S = 3.5
+LAST_RESORT_SPREAD_S = 0.5
+LAST_RESORT_PERIOD_S = 5.0
 RELAY_FANOUT = 8
+# Number of substitutes that are asked for their word of the store.
+ASKED_SUBSTITUTES = 2
 
 
 class StoreNews(NamedTuple):
-    """Tell how long ago a node last heard of the store and of other nodes."""
+    """Tell how long ago a node last heard of the store and of other nodes.
+
+    `attempt_age_s` is the time since its own last attempt to read the store.
+    """
 
     store_age_s: float
     peer_age_s: float
+    attempt_age_s: float
 
 
 def must_read_store(
@@ -36,12 +46,14 @@
 
     `random_share` is a random number from 0 to 1.
 
-    >>> must_read_store(0, 2, StoreNews(0, 0), 0.5)
+    >>> must_read_store(0, 2, StoreNews(0, 0, 9), 0.5)
     True
-    >>> must_read_store(2, 2, StoreNews(2.9, 0), 0.5)
+    >>> must_read_store(2, 2, StoreNews(2.9, 0, 9), 0.5)
     False
-    >>> must_read_store(2, 2, StoreNews(3.1, 0), 0.5)
+    >>> must_read_store(2, 2, StoreNews(3.1, 0, 9), 0.5)
     True
+    >>> [must_read_store(99, 2, StoreNews(3.8, 0, ago), 0.5) for ago in (1, 9)]
+    [False, True]
     """
     if rank < watchers:
         return True
@@ -49,9 +61,13 @@
     takeover_age_s = TAKEOVER_AGE_S + TAKEOVER_STEP_S * substitute
     if substitute < MAX_SUBSTITUTES and news.store_age_s > takeover_age_s:
         return True
-    if min(news) > ISOLATED_AGE_S:
+    if min(news.store_age_s, news.peer_age_s) > ISOLATED_AGE_S:
         return True
-    return news.store_age_s > STALE_AGE_S * (1 + random_share)
+    last_resort_age_s = LAST_RESORT_AGE_S + LAST_RESORT_SPREAD_S * random_share
+    return (
+        news.store_age_s > last_resort_age_s
+        and news.attempt_age_s > LAST_RESORT_PERIOD_S
+    )
 
 
 def find_parent(rank: int, watchers: int) -> int | None:
@@ -67,6 +83,26 @@
     return (rank - watchers) // RELAY_FANOUT
 
 
+def list_sources(
+    rank: int, watchers: int, store_age_s: float, rng: random.Random
+) -> list[int]:
+    """Return the ranks of the nodes to ask for their word of the store.
+
+    They are the parent alone, until others may have taken over the reading.
+
+    >>> list_sources(17, 2, 2.5, random.Random(1))
+    [1]
+    >>> sorted(list_sources(17, 2, 3.5, random.Random(1)))
+    [0, 1, 2]
+    """
+    parent = find_parent(rank, watchers)
+    sources = set() if parent is None else {parent}
+    if store_age_s > TAKEOVER_AGE_S:
+        sources.add(rng.randrange(watchers))
+        sources.add(watchers + rng.randrange(ASKED_SUBSTITUTES))
+    return list(sources)
+
+
 def list_children(rank: int, watchers: int) -> range:
     """Return the ranks of the nodes to which this one relays.
 
