Split the modules that had grown large by job

Change: transport/responses.py parses answers, routing/peer_app.py serves other nodes, routing/relaying.py relays answers, decisions/probe_schedule.py decides when to probe. No behaviour changed.

--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -32,7 +32,7 @@
 from limpetshore.routing.authentication import CallerAuthenticator
 from limpetshore.routing.guard import Guard
 from limpetshore.routing.ingress import Ingress
-from limpetshore.routing.peer_calls import PeerApp
+from limpetshore.routing.peer_app import PeerApp
 from limpetshore.settings import (
     GRANTED_BUDGETS,
     NodeSettings,
--- a/limpetshore/platform/dialects.py
+++ b/limpetshore/platform/dialects.py
@@ -18,7 +18,7 @@
 )
 from limpetshore.protocol.messages import get_header
 from limpetshore.randomness import random_pool
-from limpetshore.transport.http_client import Headers, ResponseHead
+from limpetshore.transport.responses import Headers, ResponseHead
 from limpetshore.verdicts import HTTP_STATUS, Reason, Refusal, Verdict
 
 MIN_TIMEOUT_MS = 1
--- a/limpetshore/protocol/bodies.py
+++ b/limpetshore/protocol/bodies.py
@@ -9,7 +9,7 @@
 from limpetshore.protocol.messages import get_header
 from limpetshore.settings import CallSection
 from limpetshore.transport.call_server import ServerRequest
-from limpetshore.transport.http_client import Headers
+from limpetshore.transport.responses import Headers
 from limpetshore.verdicts import Reason
 
 
--- a/limpetshore/protocol/dialects.py
+++ b/limpetshore/protocol/dialects.py
@@ -20,7 +20,7 @@
     get_header,
 )
 from limpetshore.randomness import random_pool
-from limpetshore.transport.http_client import Headers, ResponseHead
+from limpetshore.transport.responses import Headers, ResponseHead
 from limpetshore.verdicts import Reason, Refusal
 
 AUTHORIZATION = b'authorization'
--- a/limpetshore/protocol/exchanges.py
+++ b/limpetshore/protocol/exchanges.py
@@ -22,11 +22,8 @@
 )
 from limpetshore.settings import CallSection
 from limpetshore.transport.call_server import ServerRequest
-from limpetshore.transport.http_client import (
-    Headers,
-    HttpConnection,
-    ResponseHead,
-)
+from limpetshore.transport.http_client import HttpConnection
+from limpetshore.transport.responses import Headers, ResponseHead
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
 
--- a/limpetshore/protocol/messages.py
+++ b/limpetshore/protocol/messages.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from limpetshore.importance import Importance
-from limpetshore.transport.http_client import Headers
+from limpetshore.transport.responses import Headers
 
 Message = TypeVar('Message')
 
--- a/limpetshore/routing/attempts.py
+++ b/limpetshore/routing/attempts.py
@@ -28,7 +28,7 @@
 from limpetshore.randomness import random_pool
 from limpetshore.routing.authentication import Origin
 from limpetshore.routing.ingress_state import IngressState
-from limpetshore.routing.peer_calls import NO_DROPPED_HEADERS, relay_answer
+from limpetshore.routing.relaying import NO_DROPPED_HEADERS, relay_answer
 from limpetshore.state.deduplication import find_owner
 from limpetshore.state.policies import RouteMatch
 from limpetshore.verdicts import UNSENT_REASONS, Reason, Refusal, Verdict
--- a/limpetshore/routing/guard.py
+++ b/limpetshore/routing/guard.py
@@ -49,12 +49,8 @@
     parse_request_id,
 )
 from limpetshore.state.fencing import FencingState
-from limpetshore.transport.http_client import (
-    Headers,
-    HttpConnection,
-    HttpPool,
-    ResponseHead,
-)
+from limpetshore.transport.http_client import HttpConnection, HttpPool
+from limpetshore.transport.responses import Headers, ResponseHead
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
 logger = Logger(__name__)
--- a/limpetshore/routing/ingress.py
+++ b/limpetshore/routing/ingress.py
@@ -20,7 +20,7 @@
 from limpetshore.routing.authentication import ANONYMOUS
 from limpetshore.routing.ingress_state import IngressState
 from limpetshore.transport.call_server import CallApp, ServerRequest
-from limpetshore.transport.http_client import Headers
+from limpetshore.transport.responses import Headers
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
 logger = Logger(__name__)
--- a/limpetshore/routing/peer_calls.py
+++ b/limpetshore/routing/peer_calls.py
@@ -1,4 +1,4 @@
-"""Forward calls to the guards of other nodes, and serve such calls."""
+"""Forward calls to the guards of other nodes."""
 
 import contextlib
 
@@ -6,6 +6,7 @@
 import msgspec
 
 from limpetshore import clock
+from limpetshore.decisions.probe_schedule import ProbeSchedule
 from limpetshore.errors import (
     ConnectError,
     ConnectionLostError,
@@ -14,227 +15,36 @@
     TruncatedError,
     refuse,
 )
-from limpetshore.protocol.bodies import (
-    AnswerSender,
-    CallerDisconnectedError,
-    send_refusal,
-)
-from limpetshore.protocol.dialects import NativeCallerDialect
 from limpetshore.protocol.exchanges import (
     Answer,
     Exchange,
     GuardRefusalError,
     OutboundRequest,
     read_chunk_within,
-    read_inbound_request,
     send_request,
 )
 from limpetshore.protocol.messages import (
     ANSWER_HEADER,
     CALL_HEADER,
     AnswerMeta,
-    CallMeta,
     ProbeReply,
     ProbeRequest,
     answer_decoder,
-    call_decoder,
     get_header,
     json_encoder,
-    strip_hop_headers,
 )
-from limpetshore.routing.guard import Guard, GuardExchange
-from limpetshore.transport.call_server import CallApp, ServerRequest
 from limpetshore.transport.http_client import (
     Address,
-    Headers,
     HttpConnection,
     HttpPool,
-    ResponseHead,
 )
+from limpetshore.transport.responses import ResponseHead
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
 PROBE_PATH = '/limpetshore/probe'
 PROBE_TIMEOUT_S = 1
 MAX_LOST_PROBES = 2
 ANSWER_GRACE_S = 0.25
-MS_PER_S = 1000
-NO_CONTENT = 204
-NO_DROPPED_HEADERS: frozenset[bytes] = frozenset()
-DROPPED_PEER_HEADERS = frozenset((b'content-length',))
-
-
-class PeerApp(CallApp):
-    """Serve calls and probes of other nodes."""
-
-    def __init__(self, guard: Guard) -> None:
-        """Serve calls with the state of `guard`."""
-        self.guard = guard
-        self.dialect = NativeCallerDialect()
-
-    async def serve(self, request: ServerRequest) -> None:
-        """Serve one call or probe, told apart by the path."""
-        sender = AnswerSender(request, self.guard.settings.call.stall_s)
-        if request.path == PROBE_PATH:
-            self.answer_probe(request, sender)
-            return
-        try:
-            meta = parse_call_meta(request.headers)
-        except RefusedError as error:
-            self.guard.metrics.bad_input.labels('peer_call').inc()
-            send_refusal(sender, self.dialect.render(error.refusal, ''))
-            return
-        try:
-            await self.serve_call(request, sender, meta)
-        except Exception:
-            self.guard.metrics.report_defect('guard')
-            raise
-
-    async def serve_call(
-        self,
-        request: ServerRequest,
-        sender: AnswerSender,
-        meta: CallMeta,
-    ) -> None:
-        """Read the request of one call and forward it.
-
-        The call is cancelled if the other node closes the connection, unless
-        it is non-repeatable and was already sent to the server.
-        """
-        call = self.guard.settings.call
-        deadline = clock.now() + meta.timeout_ms / MS_PER_S
-        try:
-            inbound = await read_inbound_request(
-                request, DROPPED_PEER_HEADERS, call
-            )
-        except RefusedError as error:
-            answer_meta = self.guard.build_answer_meta(error.refusal)
-            wrapped = GuardRefusalError(error.refusal, answer_meta)
-            self.report_refusal(sender, wrapped, meta)
-            return
-        except CallerDisconnectedError:
-            return
-        outbound = OutboundRequest(inbound, meta, deadline, request)
-        if inbound.body_rest is None:
-            await self.forward(outbound, sender)
-            return
-        async with anyio.create_task_group() as tasks:
-            streamed = inbound._replace(tasks=tasks)
-            await self.forward(outbound._replace(inbound=streamed), sender)
-            tasks.cancel_scope.cancel()
-
-    async def forward(
-        self,
-        request: OutboundRequest,
-        sender: AnswerSender,
-    ) -> None:
-        """Send the call to the local backend server and relay the answer."""
-        exchange = GuardExchange(self.guard)
-        try:
-            answer = await exchange.open(request)
-            meta = (ANSWER_HEADER, json_encoder.encode(answer.meta))
-            await relay_answer(exchange, sender, answer, [meta])
-        except GuardRefusalError as error:
-            self.report_refusal(sender, error, request.meta)
-        except (TruncatedError, CallerDisconnectedError):
-            # The server closes the connection of an incomplete answer.
-            return
-        finally:
-            await exchange.close()
-
-    def report_refusal(
-        self,
-        sender: AnswerSender,
-        error: GuardRefusalError,
-        meta: CallMeta,
-    ) -> None:
-        """Count a refusal and send it to the other node."""
-        self.guard.metrics.count_refusal('guard', error.refusal)
-        send_refusal(
-            sender,
-            self.dialect.render(error.refusal, meta.request_id),
-            [(ANSWER_HEADER, json_encoder.encode(error.meta))],
-        )
-
-    def answer_probe(
-        self,
-        request: ServerRequest,
-        sender: AnswerSender,
-    ) -> None:
-        """Tell whether a call arrived, and void it if it did not."""
-        try:
-            probe_request = msgspec.json.decode(
-                get_header(request.headers, CALL_HEADER) or b'',
-                type=ProbeRequest,
-            )
-        except msgspec.MsgspecError:
-            self.guard.metrics.bad_input.labels('probe').inc()
-            refusal = Refusal(Reason.BAD_REQUEST)
-            send_refusal(sender, self.dialect.render(refusal, ''))
-            return
-        reply = json_encoder.encode(self.guard.answer_probe(probe_request))
-        sender.send_complete(NO_CONTENT, [(ANSWER_HEADER, reply)], b'')
-
-
-def parse_call_meta(headers: Headers) -> CallMeta:
-    """Return the metadata of a call; refuse a call whose header is invalid."""
-    encoded = get_header(headers, CALL_HEADER)
-    try:
-        return call_decoder.decode(encoded or b'')
-    except msgspec.MsgspecError as error:
-        raise refuse(Reason.BAD_REQUEST, f'call header: {error}') from error
-
-
-async def relay_answer(
-    exchange: Exchange,
-    sender: AnswerSender,
-    answer: Answer,
-    extra: Headers,
-) -> None:
-    """Relay an answer in chunks, or at once if it is already complete."""
-    headers = strip_hop_headers(answer.head.headers, NO_DROPPED_HEADERS)
-    headers += extra
-    body = exchange.take_buffered_body()
-    if body is not None:
-        sender.send_complete(answer.head.status, headers, body)
-        return
-    sender.start(answer.head.status, headers)
-    if not exchange.has_chunk:
-        sender.request.flush_head()
-    while chunk := await exchange.read_chunk():
-        await sender.send_body(chunk, is_last=False)
-    await sender.send_body(b'', is_last=True)
-
-
-class ProbeSchedule:
-    """Tell when to probe a node for a call that it has not answered.
-
-    A node that still sends other bytes is probed after `silence_s`, a quiet one
-    after `late_s`. Both intervals double with each probe.
-    """
-
-    def __init__(
-        self, started_at: float, *, silence_s: float, late_s: float
-    ) -> None:
-        """Count from `started_at`."""
-        self.started_at = started_at
-        self.silence_s = silence_s
-        self.late_s = late_s
-
-    def find_due(self, quiet_since: float) -> float:
-        """Return the time of the next probe of a node quiet since then.
-
-        >>> schedule = ProbeSchedule(10, silence_s=1.5, late_s=0.5)
-        >>> [schedule.find_due(since) for since in (9, 11, 12)]
-        [10.5, 11, 11.5]
-        """
-        due_if_quiet = max(self.started_at + self.late_s, quiet_since)
-        return min(self.started_at + self.silence_s, due_if_quiet)
-
-    def restart(self, probed_at: float) -> None:
-        """Count from a probe."""
-        self.started_at = probed_at
-        self.silence_s *= 2
-        self.late_s *= 2
 
 
 class PeerExchange(Exchange):
--- a/limpetshore/transport/call_server.py
+++ b/limpetshore/transport/call_server.py
@@ -18,9 +18,9 @@
     HEADER_LINE_FORMAT,
     TCP_USER_TIMEOUT_MS,
     Address,
-    Headers,
     wake_waiter,
 )
+from limpetshore.transport.responses import Headers
 
 logger = Logger(__name__)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -37,7 +37,7 @@
 from limpetshore.state.backends import LocalBackend
 from limpetshore.state.policies import PolicyIndex, decode_policy
 from limpetshore.state.store import StoreResponse
-from limpetshore.transport.http_client import ResponseHead
+from limpetshore.transport.responses import ResponseHead
 from limpetshore.verdicts import Reason, Refusal, Verdict
 from tests.platform_store import PlatformStoreClient
 
