Keep the tokens of nodes that saw each other all the time

Cause: a node drops its tokens, and accrues none for 2 s, when it is back from a cut, in which others may have taken over its shares. Where keys need the store, every node took itself for cut off after an outage of the store, and after a start as well, if it exchanged with a member before it heard of the store.

Change: a node was cut off in this sense only if it neither heard of the store nor saw a majority for fleet.cut_off_s. Others take over only from nodes that they do not hear of.

--- a/limpetshore/state/fencing.py
+++ b/limpetshore/state/fencing.py
@@ -49,12 +49,13 @@
         self.majority_at = clock.now()
 
     def notice_reconnection(self) -> None:
-        """Run the callbacks if this node was cut off until now.
+        """Run the callbacks if others may have taken over from this node.
 
-        A node that has just started was not cut off.
+        They do so only if they do not hear of it: not while it sees a majority,
+        whatever the store does, and not when it has just started.
         """
-        was_confirmed = max(self.confirmed_at, self.majority_at) > float('-inf')
-        if was_confirmed and self.is_cut_off:
+        age_s = self.confirmation_age_s
+        if self.cut_off_s < age_s < float('inf'):
             for callback in self.reconnect_callbacks:
                 callback()
 
