Name contact ages plainly; keep initial tokens; refuse malformed addresses

Cause: read as a newcomer, 'news' and 'word of the store' do not say what they hold, and is_settled used 0 as a flag. A refund right after a start cut the tokens down to the burst. The address of a member that another writer made, without a port, ended the gossip loop with ValueError.

Change: ContactAges; the owners are settled once they were derived after the last change could have its effect; a refund never lowers the tokens; a malformed address fails the call.

--- a/limpetshore/coordination/gossip.py
+++ b/limpetshore/coordination/gossip.py
@@ -83,9 +83,9 @@
         return clock.now() - self.peer_answered_at
 
     async def run_refreshes(self) -> None:
-        """Ask a relay for its word of the store when that is old here.
+        """Ask other nodes once the last read of the store that is known is old.
 
-        Most nodes hear it from the answers to their calls before that.
+        Most nodes learn of a later one from the answers to their calls.
         """
         while True:
             # It cannot be that old any sooner.
--- a/limpetshore/coordination/store_sync.py
+++ b/limpetshore/coordination/store_sync.py
@@ -15,7 +15,7 @@
 from limpetshore.coordination.joining import Joining
 from limpetshore.decisions.watching import (
     TAKEOVER_AGE_S,
-    StoreNews,
+    ContactAges,
     must_read_store,
 )
 from limpetshore.errors import StoreError, StoreHistoryError
@@ -116,10 +116,10 @@
         """Vary a period at random, so that nodes do not act simultaneously."""
         return seconds * self.rng.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
 
-    def collect_news(self) -> StoreNews:
+    def measure_contact_ages(self) -> ContactAges:
         """Return how long ago this node heard of the store and of others."""
         since_start_s = clock.now() - self.started_at
-        return StoreNews(
+        return ContactAges(
             store_age_s=min(
                 self.fleet.fencing.store_age_s, INITIAL_AGE_S + since_start_s
             ),
@@ -129,15 +129,15 @@
 
     async def sync_once(self) -> None:
         """Read or watch the store once, or wait if others do that."""
-        news = self.collect_news()
+        ages = self.measure_contact_ages()
         if not must_read_store(
             self.ranking.rank(),
             self.settings.watchers,
-            news,
+            ages,
             self.random_share,
         ):
             self.revision = None
-            await anyio.sleep(self.choose_pause_s(news))
+            await anyio.sleep(self.choose_pause_s(ages))
             return
         self.attempted_at = clock.now()
         if self.revision is None:
@@ -146,13 +146,13 @@
             await self.watch()
         self.mark_available()
 
-    def choose_pause_s(self, news: StoreNews) -> float:
+    def choose_pause_s(self, ages: ContactAges) -> float:
         """Return how long the store need not be read by this node.
 
         The next watchers take over by the age of the last read, which grows by
         a second a second at most.
         """
-        remaining_s = TAKEOVER_AGE_S - news.store_age_s
+        remaining_s = TAKEOVER_AGE_S - ages.store_age_s
         longest_s = self.jitter(MAX_IDLE_PAUSE_S)
         return min(longest_s, max(MIN_IDLE_PAUSE_S, remaining_s))
 
--- a/limpetshore/decisions/conserved_budgets.py
+++ b/limpetshore/decisions/conserved_budgets.py
@@ -141,7 +141,8 @@
     def add_tokens(self, count: int) -> None:
         """Add borrowed or refunded tokens; any above the share are lost."""
         self.refill()
-        self.tokens = min(max(self.share.burst, 1), self.tokens + count)
+        full = max(self.tokens, self.share.burst, 1)
+        self.tokens = min(full, self.tokens + count)
         self.updated = max(self.updated, clock.now())
 
     def time_to_token(self) -> float:
@@ -172,7 +173,8 @@
         self.owners: dict[str, Owners] = {}
         self.member_names: list[str] = []
         self.table_version = -1
-        self.unsettled_until: float = 0
+        self.updated_at = clock.now()
+        self.settles_at = clock.now()
         self.accrues_from = clock.now()
 
     def update_customers(self, customers: dict[str, Customer]) -> None:
@@ -217,12 +219,9 @@
         now = clock.now()
         if self.table.version != self.table_version:
             self.table_version = self.table.version
-            self.unsettled_until = now + TAKEOVER_DELAY_S
-            return False
-        if now < self.unsettled_until:
-            return False
-        is_settled = self.unsettled_until == 0
-        self.unsettled_until = 0
+            self.settles_at = now + TAKEOVER_DELAY_S
+        is_settled = self.updated_at > self.settles_at
+        self.updated_at = now
         return is_settled
 
     def start_buckets(self) -> None:
--- a/limpetshore/decisions/watching.py
+++ b/limpetshore/decisions/watching.py
@@ -1,4 +1,4 @@
-"""Decide which nodes read the store, and from whom the others hear of it.
+"""Decide which nodes read the store, and whom the others ask about it.
 
 The nodes are ranked, alike on each of them. The first few watch the store. The
 others learn the age of the last read from the answers of other nodes; one that
@@ -21,11 +21,11 @@
 LAST_RESORT_SPREAD_S = 0.5
 LAST_RESORT_PERIOD_S = 5.0
 RELAY_FANOUT = 8
-# Number of substitutes that are asked for their word of the store.
+# Number of substitutes that are asked how old their last read is.
 ASKED_SUBSTITUTES = 2
 
 
-class StoreNews(NamedTuple):
+class ContactAges(NamedTuple):
     """Tell how long ago a node last heard of the store and of other nodes.
 
     `attempt_age_s` is the time since its own last attempt to read the store.
@@ -39,34 +39,36 @@
 def must_read_store(
     rank: int,
     watchers: int,
-    news: StoreNews,
+    ages: ContactAges,
     random_share: float,
 ) -> bool:
     """Tell whether a node of this rank reads the store now.
 
     `random_share` is a random number from 0 to 1.
 
-    >>> must_read_store(0, 2, StoreNews(0, 0, 9), 0.5)
+    >>> must_read_store(0, 2, ContactAges(0, 0, 9), 0.5)
     True
-    >>> must_read_store(2, 2, StoreNews(2.9, 0, 9), 0.5)
+    >>> must_read_store(2, 2, ContactAges(2.9, 0, 9), 0.5)
     False
-    >>> must_read_store(2, 2, StoreNews(3.1, 0, 9), 0.5)
+    >>> must_read_store(2, 2, ContactAges(3.1, 0, 9), 0.5)
+    True
+    >>> must_read_store(99, 2, ContactAges(3.8, 0, 1), 0.5)
+    False
+    >>> must_read_store(99, 2, ContactAges(3.8, 0, 9), 0.5)
     True
-    >>> [must_read_store(99, 2, StoreNews(3.8, 0, ago), 0.5) for ago in (1, 9)]
-    [False, True]
     """
     if rank < watchers:
         return True
     substitute = rank - watchers
     takeover_age_s = TAKEOVER_AGE_S + TAKEOVER_STEP_S * substitute
-    if substitute < MAX_SUBSTITUTES and news.store_age_s > takeover_age_s:
+    if substitute < MAX_SUBSTITUTES and ages.store_age_s > takeover_age_s:
         return True
-    if min(news.store_age_s, news.peer_age_s) > ISOLATED_AGE_S:
+    if min(ages.store_age_s, ages.peer_age_s) > ISOLATED_AGE_S:
         return True
     last_resort_age_s = LAST_RESORT_AGE_S + LAST_RESORT_SPREAD_S * random_share
     return (
-        news.store_age_s > last_resort_age_s
-        and news.attempt_age_s > LAST_RESORT_PERIOD_S
+        ages.store_age_s > last_resort_age_s
+        and ages.attempt_age_s > LAST_RESORT_PERIOD_S
     )
 
 
@@ -86,7 +88,7 @@
 def list_sources(
     rank: int, watchers: int, store_age_s: float, rng: random.Random
 ) -> list[int]:
-    """Return the ranks of the nodes to ask for their word of the store.
+    """Return the ranks of the nodes to ask how old their last read is.
 
     They are the parent alone, until others may have taken over the reading.
 
--- a/limpetshore/protocol/control.py
+++ b/limpetshore/protocol/control.py
@@ -147,7 +147,8 @@
         """Send a message and return the reply, or raise PeerError.
 
         A failed call closes the kept connections: they may never deliver
-        anything again, while a new one to the same address works.
+        anything again, while a new one to the same address works. ValueError
+        stands for a malformed reply or address.
         """
         encoded = encode(request)
         byte_counters = self.metrics.control_bytes
@@ -156,7 +157,7 @@
             with anyio.fail_after(timeout_s):
                 reply = await self.send(address, method, encoded)
             decoded = msgspec.msgpack.decode(reply, type=reply_class)
-        except (TransportError, TimeoutError, msgspec.MsgspecError) as error:
+        except (TransportError, TimeoutError, ValueError) as error:
             self.metrics.control_calls.labels(method, 'failed').inc()
             self.forget(address)
             raise PeerError(f'{address}: {error!r}') from error
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -151,6 +151,18 @@
     run_with_server(work)
 
 
+def test_malformed_address_raises_peer_error():
+    """Raise PeerError for the address of a member that another writer made."""
+
+    async def work(client):
+        request = FetchRequest('policy', 0)
+        for address in ('', 'nowhere', '127.0.9.1:port'):
+            with pytest.raises(PeerError):
+                await client.call(address, 'Fetch', request, Document, 1)
+
+    run_with_server(work)
+
+
 def test_restarted_peer_is_called_on_a_new_connection():
     """Answer the first call after a restart of the peer."""
     request = FetchRequest('policy', 0)
