--- a/limpetshore/coordination/ledger_repair.py
+++ b/limpetshore/coordination/ledger_repair.py
@@ -19,6 +19,7 @@
 from limpetshore.settings import FleetSection
 from limpetshore.state.ledger import (
     encode_ledger,
+    must_wait_for_members,
     reassign_shards,
     release_shards,
 )
@@ -28,6 +29,8 @@
 
 REPAIR_PERIOD_S = 1.0
 REPAIR_STAGGER_S = 3.0
+# Of the first assignment, for nodes whose server is not ready yet.
+MEMBERS_WAIT_S = 3.0
 RELEASE_TIMEOUT_S = 2.0
 
 
@@ -82,7 +85,12 @@
             return
         if self.due_since is None:
             self.due_since = clock.now()
-        if clock.now() - self.due_since >= rank * REPAIR_STAGGER_S:
+        due_for_s = clock.now() - self.due_since
+        if due_for_s < MEMBERS_WAIT_S and must_wait_for_members(
+            current.ledger, self.fleet.table
+        ):
+            return
+        if due_for_s >= rank * REPAIR_STAGGER_S:
             await self.write(encode_ledger(planned), current.version)
 
     async def write(self, content: bytes, expected_version: int) -> None:
--- a/limpetshore/state/ledger.py
+++ b/limpetshore/state/ledger.py
@@ -54,6 +54,17 @@
     return ledger
 
 
+def must_wait_for_members(ledger: Ledger, table: MemberTable) -> bool:
+    """Return whether the first assignment should wait for starting nodes.
+
+    Whoever is ready alone would hold all shards, and keep them.
+    """
+    is_first = not any(holder.name for holder in ledger.holders)
+    return is_first and any(
+        state.status == Status.NOT_READY for state in table.states()
+    )
+
+
 def find_shards(customer: str, count: int) -> list[int]:
     """Return the `count` shards that share the budget of a customer."""
     names = [str(shard) for shard in range(SHARD_COUNT)]
