Go on watching the store in place of watchers that it turns away

The store turned away all three watchers; a substitute read it once when the last read was 3 s old, and then waited until it was as old again.

--- a/limpetshore/coordination/store_sync.py
+++ b/limpetshore/coordination/store_sync.py
@@ -14,8 +14,10 @@
 from limpetshore.coordination.gossip import Gossip
 from limpetshore.coordination.joining import Joining
 from limpetshore.decisions.watching import (
+    SUBSTITUTION_S,
     TAKEOVER_AGE_S,
     ContactAges,
+    is_substitute,
     must_read_store,
 )
 from limpetshore.errors import StoreError, StoreHistoryError
@@ -68,6 +70,7 @@
         self.failures = 0
         self.started_at = clock.now()
         self.attempted_at = float('-inf')
+        self.substitutes_until = float('-inf')
         self.random_share = rng.random()
 
     async def run(self) -> None:
@@ -129,13 +132,11 @@
 
     async def sync_once(self) -> None:
         """Read or watch the store once, or wait if others do that."""
+        rank = self.ranking.rank()
+        watchers = self.settings.watchers
         ages = self.measure_contact_ages()
-        if not must_read_store(
-            self.ranking.rank(),
-            self.settings.watchers,
-            ages,
-            self.random_share,
-        ):
+        is_due = must_read_store(rank, watchers, ages, self.random_share)
+        if not is_due and clock.now() >= self.substitutes_until:
             self.revision = None
             await anyio.sleep(self.choose_pause_s(ages))
             return
@@ -145,6 +146,8 @@
         else:
             await self.watch()
         self.mark_available()
+        if is_due and is_substitute(rank, watchers):
+            self.substitutes_until = clock.now() + SUBSTITUTION_S
 
     def choose_pause_s(self, ages: ContactAges) -> float:
         """Return how long the store need not be read by this node.
--- a/limpetshore/decisions/watching.py
+++ b/limpetshore/decisions/watching.py
@@ -13,6 +13,8 @@
 TAKEOVER_AGE_S = 3.0
 TAKEOVER_STEP_S = 0.15
 MAX_SUBSTITUTES = 8
+# A substitute that could read the store goes on watching it for this time.
+SUBSTITUTION_S = 10.0
 # A node that no other node answers reads the store by itself.
 ISOLATED_AGE_S = 2.5
 # A node of any rank reads the store by itself before its keys are refused, at
@@ -59,9 +61,8 @@
     """
     if rank < watchers:
         return True
-    substitute = rank - watchers
-    takeover_age_s = TAKEOVER_AGE_S + TAKEOVER_STEP_S * substitute
-    if substitute < MAX_SUBSTITUTES and ages.store_age_s > takeover_age_s:
+    takeover_age_s = TAKEOVER_AGE_S + TAKEOVER_STEP_S * (rank - watchers)
+    if is_substitute(rank, watchers) and ages.store_age_s > takeover_age_s:
         return True
     if min(ages.store_age_s, ages.peer_age_s) > ISOLATED_AGE_S:
         return True
@@ -72,6 +73,15 @@
     )
 
 
+def is_substitute(rank: int, watchers: int) -> bool:
+    """Tell whether a node of this rank stands in for the watchers.
+
+    >>> [is_substitute(rank, 3) for rank in (2, 3, 10, 11)]
+    [False, True, True, False]
+    """
+    return 0 <= rank - watchers < MAX_SUBSTITUTES
+
+
 def find_parent(rank: int, watchers: int) -> int | None:
     """Return the rank of the node that relays to this one.
 
--- a/tests/test_store_reading.py
+++ b/tests/test_store_reading.py
@@ -117,6 +117,36 @@
     assert run_with_fleet(work, seed=seed) < CUT_OFF_S
 
 
+@pytest.mark.parametrize('seed', range(3))
+def test_changes_are_active_while_the_watchers_are_turned_away(seed):
+    """Keep watching in place of the watchers, not only read now and then.
+
+    The substitutes read the store only when the last read was 3 s old: on a
+    hunted day, all three watchers were turned away, and a configuration was not
+    active 2 s after its acknowledgement.
+    """
+
+    async def work(fleet):
+        fleet.store.blocked_names = set(find_reading_names(fleet))
+        await anyio.sleep(5)
+        longest_s = 0
+        for number in range(2, 9):
+            customer = build_customer(rate=10 + number, burst=20)
+            ticket = build_ticket(number, customers={'harbour': customer})
+            await fleet.write_ticket(ticket)
+            written_at = clock.now()
+            await fleet.wait_until_all(
+                lambda node, number=number: (
+                    node.fleet.policy.policy.number == number
+                )
+            )
+            longest_s = max(longest_s, clock.now() - written_at)
+            await anyio.sleep(0.9)
+        return longest_s
+
+    assert run_with_fleet(work, seed=seed) < 2
+
+
 @pytest.mark.parametrize('seed', range(3))
 def test_nodes_cut_off_from_the_watchers(seed):
     """Let the nodes of a partition without watchers read by themselves."""
