--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,7 @@
 # flake8: noqa
-"""Give the address of a crashed server to a server of another service."""
+"""Kill a node beside a server that leaves; an old heartbeat arrives late."""
 
 import asyncio
-import random
 import sys
 import time
 from pathlib import Path
@@ -11,78 +10,89 @@
 sys.path.insert(0, str(HERE.parent / 'standins'))
 import harness as h  # noqa: E402
 
-SLOTS = 13
-WORK_MS = 20
-CLUMPS_PER_S = 8
-CLUMP = 30
-REUSE_AFTER_S = 2.5
-RUN_S = 10
+DRAIN_S = 2.0
+DOWN_S = 0.5
+STABLE_S = 3.0
+LATE_S = 6.0
+RUN_S = 14
 
 
-async def send_requests(record, node, until, rng):
-    """Send requests in groups at random times, each on its own connection."""
-    counts = {}
+async def send_requests(record, node, until, sent):
+    """Send a request every 20 ms, each on a connection of its own."""
 
-    async def ask(request_id, node):
+    async def ask(request_id):
         reader, writer = await asyncio.open_connection(*node.callers_address)
-        writer.write(h.build_request(request_id, f'/stock/item?work={WORK_MS}'))
-        first, headers, _ = await h.read_message(reader)
-        status = first.split()[1]
-        counts[status] = counts.get(status, 0) + 1
-        record(f'client: {status} to {request_id}')
+        writer.write(h.build_request(request_id, '/stock/item?work=5'))
+        first, _, _ = await h.read_message(reader)
+        record(f'client: {first.split()[1]} to {request_id}')
         writer.close()
 
     tasks = []
     while time.monotonic() < until:
-        for _ in range(CLUMP):
-            tasks.append(asyncio.ensure_future(ask(h.next_id('c'), node)))
-        await asyncio.sleep(rng.expovariate(CLUMPS_PER_S))
-    await asyncio.wait(tasks, timeout=6)
-    return counts
+        request_id = h.next_id('c')
+        sent[request_id] = time.monotonic()
+        tasks.append(asyncio.ensure_future(ask(request_id)))
+        await asyncio.sleep(0.02)
+    await asyncio.wait(tasks, timeout=3)
 
 
 async def play(record, has_trouble):
     fleet = h.Fleet(
         record,
-        [('stock', 'zone-a'), ('billing', 'zone-a')],
-        slots=SLOTS,
+        [('front', 'zone-a'), ('stock', 'zone-a'), ('stock', 'zone-b')],
     )
     configuration = h.build_configuration(
         7,
-        {
-            'r-stock': h.build_route('/stock/', 'stock', 'idempotent', 5000),
-            'r-bill': h.build_route('/bill/', 'billing', 'idempotent', 5000),
-        },
-        ['stock', 'billing'],
+        {'r-stock': h.build_route('/stock/', 'stock', 'idempotent', 5000)},
+        ['front', 'stock'],
     )
     try:
         await fleet.start(configuration)
         await asyncio.sleep(4)
-        node = fleet.nodes[0]
+        front, node, _ = fleet.nodes
+        server = fleet.servers[1]
+        sent = {}
         until = time.monotonic() + RUN_S
-        load = asyncio.ensure_future(
-            send_requests(record, node, until, random.Random())
-        )
-        await asyncio.sleep(2)
-        if not fleet.servers[0].runs:
+        load = asyncio.ensure_future(send_requests(record, front, until, sent))
+        await asyncio.sleep(1.5)
+        if not server.runs:
             raise h.CannotRun('the server got no requests')
-        other = None
+        # The server leaves: it sends DELETE, serves on for a while and exits.
+        server.stop_beats()
+        late_beat = server.describe()
+        if not has_trouble:
+            await server.send_beat(late_beat)
+            record('heartbeat in time')
+        if not await server.tell('DELETE'):
+            raise h.CannotRun('the departure was not acknowledged')
+        acknowledged_at = time.monotonic()
+        server.state = 'draining'
+        record(f'server {server.instance}: departure acknowledged')
         if has_trouble:
-            fleet.servers[0].crash()
-            await asyncio.sleep(REUSE_AFTER_S)
-            other = h.Server(record, node, 'i-00ff', 'billing', SLOTS)
-            await other.start()
-            record('a server of billing has the address now')
-            fleet.servers.append(other)
-        counts = await load
-        record(f'answers: {counts}')
-        if counts.get('200', 0) < 100:
-            raise h.CannotRun('too few requests were served')
-        return [
-            f'ROUTE: {request_id}, on a route to stock, ran at {other.instance} '
-            f'of {other.service}'
-            for _, request_id in (other.runs if other else [])
-        ]
+            await asyncio.sleep(0.2)
+            await node.kill()
+            await asyncio.sleep(DOWN_S)
+            await node.start()
+            started_at = time.monotonic()
+            await asyncio.sleep(acknowledged_at + LATE_S - time.monotonic())
+            accepted = await server.send_beat(late_beat)
+            record(
+                f'late heartbeat, sequence {late_beat["sequence"]}: '
+                + ('acknowledged' if accepted else 'not acknowledged')
+            )
+        else:
+            started_at = acknowledged_at
+        await load
+        broken = []
+        for ran_at, request_id in server.runs:
+            after_s = ran_at - acknowledged_at
+            in_touch = not has_trouble or ran_at > started_at + STABLE_S
+            if after_s > DRAIN_S and in_touch:
+                broken.append(
+                    f'DRAIN: {request_id} reached {server.instance} '
+                    f'{after_s:.3f} s after its departure was acknowledged'
+                )
+        return broken
     finally:
         await fleet.stop()
 
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -121,15 +121,24 @@
         self.revision = 1
         self.changed = asyncio.Condition()
         self.log = []
+        # Time of the latest watch, by the address at which it came in.
+        self.watched_at = {}
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, *self.address)
+        await self.listen(self.address)
+
+    async def listen(self, address):
+        """Serve at a further address too."""
+        await asyncio.start_server(self.serve, *address)
 
     async def serve(self, reader, writer):
         try:
             while True:
                 first, _, body = await read_message(reader)
                 method, target, _ = first.split(' ')
+                if 'watch=' in target:
+                    host = writer.get_extra_info('sockname')[0]
+                    self.watched_at[host] = time.monotonic()
                 status, answer = await self.answer(method, target, body)
                 writer.write(
                     build_answer(
@@ -454,13 +463,18 @@
             'bounds': BOUNDS,
         }
 
+    def write_settings(self, template='deploy/node.toml'):
+        """Fill in the template of the deploy file; return the path."""
+        path = self.fleet.folder / f'{self.name}.settings'
+        text = (ROOT / template).read_text()
+        path.write_text(render(text, self.settings()))
+        return path
+
     async def start(self):
         """Start the process as the deploy file says."""
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         role = deploy['roles']['node']
-        text = (ROOT / role['template']).read_text()
-        path = self.fleet.folder / f'{self.name}.settings'
-        path.write_text(render(text, self.settings()))
+        path = self.write_settings(role['template'])
         log = (self.fleet.folder / f'{self.name}.log').open('ab')
         environment = {
             name: os.environ[name]
@@ -535,6 +549,9 @@
         await self.store.start()
         await self.store.write(('config', 'main'), configuration)
         for index, node in enumerate(self.nodes):
+            # Each node has an address of its own for the store.
+            node.store_address = (f'{self.net}.{150 + index}', 8545)
+            await self.store.listen(node.store_address)
             await node.start()
             server = Server(
                 self.record, node, f'i-{index:04x}', slots=self.slots
