Log the start and sequence of the heartbeat that changes a server's state

Change: the line has the boot (id and start) and the sequence; a heartbeat that is ignored as late has a line.

--- a/limpetshore/platform/heartbeats.py
+++ b/limpetshore/platform/heartbeats.py
@@ -101,6 +101,11 @@
             order < self.newest_order
             or heartbeat.born <= self.departed_births.get(instance, -1)
         ):
+            logger.info(
+                'ignored a late heartbeat of {0}',
+                instance,
+                extra={'born': heartbeat.born, 'sequence': heartbeat.sequence},
+            )
             return OK
         self.newest_order = order
         self.update_backend(
@@ -110,6 +115,7 @@
                 boot=f'{instance}.{heartbeat.born}',
                 instance=instance,
             ),
+            heartbeat.sequence,
         )
         return OK
 
@@ -123,9 +129,11 @@
         current = self.guard.backend.announcement
         if current is not None and current.instance == instance:
             self.departed_births[instance] = self.newest_order[0]
-            self.update_backend(current._replace(state=wire.DRAINING))
+            self.update_backend(
+                current._replace(state=wire.DRAINING), self.newest_order[1]
+            )
 
-    def update_backend(self, announcement: Announcement) -> None:
+    def update_backend(self, announcement: Announcement, sequence: int) -> None:
         """Apply an announcement and log a change of server or state."""
         current = self.guard.backend.announcement
         is_new = self.guard.backend.update(announcement)
@@ -134,7 +142,11 @@
                 'server {0} is {1}',
                 announcement.instance,
                 announcement.state,
-                extra={'slots': announcement.slots},
+                extra={
+                    'slots': announcement.slots,
+                    'boot': announcement.boot,
+                    'sequence': sequence,
+                },
             )
         self.guard.apply_announcement(is_new=is_new)
         self.on_announcement()
