Use a server only once it has confirmed that it serves

Cause: order of heartbeats and departures lived in the memory of the node. After a restart any heartbeat counted as the newest; the log line added before shows the boot that had departed and a sequence from before the departure.

Change: LocalServer replaces the order kept by HeartbeatApp and the one query after a start. An announced server that is not in use (unknown, restarted, departed, lapsed, answered by another) is proposed, and used once its health check has answered with its id, asked after the last departure known. So no old word counts on any of these ways, and a server that was started anew counts whatever its clock says. A departure while the query is under way voids it. Health checks: one for each start of a server or a node.

Ruled out: keeping departures in the store before the acknowledgement. It costs a write for each departure, and a server that restarts under its id would have to be told apart from its late heartbeats all the same.

The undecodable id is now compared itself, not only the slots beside it.

--- a/limpetshore/integrations.py
+++ b/limpetshore/integrations.py
@@ -1,8 +1,10 @@
 """Integrate a node with the environment outside the fleet."""
 
 from abc import ABC, abstractmethod
-from typing import Protocol
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, Protocol
 
+from limpetshore.coordination.fleet import FleetState
 from limpetshore.metrics import Metrics
 from limpetshore.protocol.dialects import (
     BackendDialect,
@@ -12,8 +14,6 @@
 )
 from limpetshore.routing.guard import Guard
 from limpetshore.settings import NodeSettings, parse_address
-from limpetshore.state.backends import Announcement
-from limpetshore.state.policies import Policy
 from limpetshore.state.store import HttpObjectStore, ObjectStore
 from limpetshore.transport.call_server import CallServer
 
@@ -22,6 +22,7 @@
     """Declare the part of a node that an integration may use."""
 
     guard: Guard
+    fleet: FleetState
 
     @property
     def is_ready(self) -> bool:
@@ -31,6 +32,16 @@
         """Publish whether the local backend server accepts requests."""
 
 
+BackgroundLoop = Callable[[], Awaitable[None]]
+
+
+class Extension(NamedTuple):
+    """List the servers and background loops that an integration adds."""
+
+    servers: list[CallServer]
+    loops: list[BackgroundLoop]
+
+
 class Integration(ABC):
     """Provide the dialects, object store and extra servers of a node."""
 
@@ -45,19 +56,9 @@
     def build_store(self, metrics: Metrics) -> ObjectStore:
         """Return the object store for durable state."""
 
-    async def query_backend(
-        self,
-        policy: Policy,
-        slots: int,
-    ) -> Announcement | None:
-        """Query the local server for its announcement, None if unavailable.
-
-        By default nothing is queried, because the server sends announcements.
-        """
-
     @abstractmethod
-    def build_extra_servers(self, node: NodeHandle) -> list[CallServer]:
-        """Return servers to run in addition to those of the node."""
+    def extend(self, node: NodeHandle) -> Extension:
+        """Return what a node runs in addition to its own parts."""
 
 
 class NativeIntegration(Integration):
@@ -78,6 +79,6 @@
             metrics,
         )
 
-    def build_extra_servers(self, node: NodeHandle) -> list[CallServer]:
-        """Return no servers: the admin port receives announcements."""
-        return []
+    def extend(self, node: NodeHandle) -> Extension:
+        """Return nothing: the admin port receives announcements."""
+        return Extension([], [])
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -96,8 +96,9 @@
             self.local_shards,
             self.metrics,
         )
-        self.client = ControlClient(self.metrics)
-        self.gossip = Gossip(self.fleet, self.client, fleet, self.rng)
+        self.gossip = Gossip(
+            self.fleet, ControlClient(self.metrics), fleet, self.rng
+        )
         self.store = integration.build_store(self.metrics)
         self.store_sync = StoreSync(
             self.store,
@@ -130,7 +131,7 @@
         self.gossip.budgets = self.budgets
         self.fencing.reconnect_callbacks.append(self.budgets.clear)
         self.prefetching_limiter = PrefetchingLimiter(
-            FleetGrantClient(self.fleet, self.client),
+            FleetGrantClient(self.fleet, self.gossip.client),
             self.tasks,
             validity_s=fleet.grant_validity_s,
             horizon_s=fleet.grant_horizon_s,
@@ -179,7 +180,7 @@
             return self.prefetching_limiter
         return BorrowingLimiter(
             self.budgets,
-            FleetLendClient(self.fleet, self.client),
+            FleetLendClient(self.fleet, self.gossip.client),
             self.tasks,
             fleet.grant_wait_s,
         )
@@ -213,10 +214,8 @@
             parse_address(listen.control),
             graceful_s=CONTROL_GRACE_S,
         )
-        self.side_servers = [
-            *self.integration.build_extra_servers(self),
-            admin_server,
-        ]
+        self.extension = self.integration.extend(self)
+        self.side_servers = [*self.extension.servers, admin_server]
 
     def adopt_policy(self, index: PolicyIndex) -> None:
         """Apply a newer policy to all components."""
@@ -241,7 +240,7 @@
         await self.leave()
         self.control_server.stop()
         await self.control_server.wait_stopped()
-        self.client.close()
+        self.gossip.client.close()
         self.tasks.cancel_scope.cancel()
 
     async def leave(self) -> None:
@@ -275,8 +274,8 @@
             self.gossip.run_pushes,
             self.gossip.run_refreshes,
             RosterKeeper(self.store, self.fleet).run,
-            self.identify_backend,
             self.run_periodic_updates,
+            *self.extension.loops,
         ):
             self.tasks.start_soon(run_supervised, self.metrics, loop)
         if self.grants_budgets:
@@ -317,31 +316,6 @@
         for server in self.side_servers:
             server.stop()
 
-    async def identify_backend(self) -> None:
-        """Identify the local server after a restart of the node.
-
-        If the server still has the instance id that the node recorded before,
-        the node accepts work without waiting for an announcement.
-        """
-        while self.table.is_joining or self.ingress.index is None:
-            await anyio.sleep(JOIN_POLL_S)
-        previous = self.table.previous_own
-        if previous is None or self.guard.backend.announcement:
-            return
-        policy = self.ingress.index.policy
-        announcement = await self.integration.query_backend(
-            policy, previous.slots
-        )
-        if announcement is None or announcement.instance != previous.instance:
-            return
-        if not self.guard.backend.announcement:
-            logger.info(
-                'identified the local server as {0}', announcement.instance
-            )
-            self.guard.backend.update(announcement)
-            self.guard.apply_announcement(is_new=True)
-            self.publish_own_state()
-
     async def run_periodic_updates(self) -> None:
         """Update own status, membership, budgets and gauges periodically."""
         while True:
--- a/limpetshore/platform/integration.py
+++ b/limpetshore/platform/integration.py
@@ -1,17 +1,16 @@
 """Select the dialects, store and servers of a node on the platform."""
 
-from limpetshore.integrations import Integration, NodeHandle
+from limpetshore.integrations import Extension, Integration, NodeHandle
 from limpetshore.metrics import Metrics
 from limpetshore.platform.dialects import (
     PlatformBackendDialect,
     PlatformCallerDialect,
 )
-from limpetshore.platform.health import query_server
+from limpetshore.platform.health import HealthQuery
 from limpetshore.platform.heartbeats import HeartbeatApp
 from limpetshore.platform.store import PlatformStore
+from limpetshore.routing.local_server import LocalServer
 from limpetshore.settings import NodeSettings, parse_address
-from limpetshore.state.backends import Announcement
-from limpetshore.state.policies import Policy
 from limpetshore.state.store import HttpStoreClient, ObjectStore
 from limpetshore.transport.call_server import CallApp, CallServer, ServerRequest
 
@@ -39,31 +38,23 @@
         )
         return PlatformStore(client)
 
-    async def query_backend(
-        self,
-        policy: Policy,
-        slots: int,
-    ) -> Announcement | None:
-        """Query the local server for its instance id after a node restart.
+    def extend(self, node: NodeHandle) -> Extension:
+        """Return the servers for heartbeats and readiness checks.
 
-        Return None if the policy has no health path for its service.
+        A background loop has announced servers confirm that they are ready.
         """
-        service = policy.services.get(self.settings.backend.service)
-        if service is None:
-            return None
-        return await query_server(self.settings, service.health_path, slots)
-
-    def build_extra_servers(self, node: NodeHandle) -> list[CallServer]:
-        """Return the HTTP servers for heartbeats and readiness checks."""
+        local_server = LocalServer(
+            node.guard,
+            node.fleet.table,
+            HealthQuery(self.settings.backend, node.fleet),
+            node.publish_own_state,
+        )
         platform = self.settings.platform
         applications = {
-            platform.heartbeats: HeartbeatApp(
-                node.guard,
-                node.publish_own_state,
-            ),
+            platform.heartbeats: HeartbeatApp(node.guard, local_server),
             platform.readiness: ReadinessApp(node),
         }
-        return [
+        servers = [
             CallServer(
                 application,
                 parse_address(address),
@@ -71,6 +62,7 @@
             )
             for address, application in applications.items()
         ]
+        return Extension(servers, [local_server.run])
 
 
 class ReadinessApp(CallApp):
--- a/limpetshore/state/backends.py
+++ b/limpetshore/state/backends.py
@@ -11,6 +11,7 @@
 MAX_BOOT_LENGTH = 64
 MAX_REMEMBERED_BOOTS = 16
 UNREACHABLE_BACKOFF_S = 0.3
+READY = 'ready'
 DRAINING = 'draining'
 
 
@@ -68,13 +69,18 @@
         """Return the id of the server, empty if it reports none."""
         return self.announcement.instance if self.announcement else ''
 
+    @property
+    def has_lapsed(self) -> bool:
+        """Return whether no announcement of the last `lapse_s` is known."""
+        is_old = clock.now() - self.announced_at > self.lapse_s
+        return self.announcement is None or is_old
+
     @property
     def is_ready(self) -> bool:
         """Return whether new requests may be sent to the server."""
         return (
-            self.announcement is not None
-            and self.announcement.state == 'ready'
-            and clock.now() - self.announced_at <= self.lapse_s
+            not self.has_lapsed
+            and self.announcement.state == READY
             and clock.now() >= self.unreachable_until
         )
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,14 +11,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from limpetshore import clock
 from limpetshore.coordination.fleet import POLICY_KIND
 from limpetshore.errors import (
     StoreConflictError,
     StoreError,
     StoreHistoryError,
 )
-from limpetshore.metrics import Metrics
 from limpetshore.platform import wire
 from limpetshore.platform.configuration import (
     LIMIT_WINDOW_S,
@@ -30,11 +28,8 @@
     PlatformCallerDialect,
     choose_status,
 )
-from limpetshore.platform.heartbeats import HeartbeatApp
 from limpetshore.platform.store import PlatformStore
 from limpetshore.protocol.dialects import BackendCall
-from limpetshore.settings import check_settings
-from limpetshore.state.backends import LocalBackend
 from limpetshore.state.policies import PolicyIndex, decode_policy
 from limpetshore.state.store import StoreResponse
 from limpetshore.transport.responses import ResponseHead
@@ -42,7 +37,6 @@
 from tests.platform_store import PlatformStoreClient
 
 ROOT = Path(__file__).parent.parent
-ADDRESS = '10.0.0.9:8080'
 CONFIGURATION = {
     'version': 7,
     'routes': {
@@ -228,101 +222,6 @@
     anyio.run(scenario)
 
 
-class FakeGuard:
-    """Provide the attributes of a guard that `HeartbeatApp` uses."""
-
-    def __init__(self):
-        """Start without an announcement of the backend server."""
-        self.settings = check_settings(
-            {
-                'node': {'name': 'n', 'zone': 'z'},
-                'listen': {
-                    name: '10.0.0.9:1'
-                    for name in ('callers', 'peers', 'control', 'admin')
-                },
-                'backend': {'service': 'yard', 'address': ADDRESS},
-                'store': {'address': '10.0.0.1:1'},
-            }
-        )
-        self.metrics = Metrics()
-        self.backend = LocalBackend(1000, 6)
-
-    def apply_announcement(self, *, is_new):
-        """Ignore the announcement."""
-
-
-@pytest.fixture
-def heartbeat_app():
-    """Yield a heartbeat application with the clock fixed at 100 s."""
-    before = clock.process_clock.source
-    clock.process_clock.source = lambda: 100.0
-    yield HeartbeatApp(FakeGuard(), lambda: None)
-    clock.process_clock.source = before
-
-
-def build_heartbeat(**changes):
-    """Return a heartbeat of the local server, with some values replaced."""
-    values = {
-        'service': 'yard',
-        'address': ADDRESS,
-        'slots': 20,
-        'state': 'ready',
-        'sequence': 4,
-        'born': 1000,
-        **changes,
-    }
-    return wire.Heartbeat(**values)
-
-
-def test_late_heartbeat_of_a_departed_server_is_ignored(heartbeat_app):
-    """Keep a departed server not ready until it has restarted."""
-    backend = heartbeat_app.guard.backend
-    heartbeat_app.handle_heartbeat('i-1', build_heartbeat())
-    assert backend.is_ready
-    heartbeat_app.handle_departure('i-1')
-    assert not backend.is_ready
-    heartbeat_app.handle_heartbeat('i-1', build_heartbeat(sequence=9))
-    assert not backend.is_ready
-    heartbeat_app.handle_heartbeat(
-        'i-1', build_heartbeat(sequence=1, born=2000)
-    )
-    assert backend.is_ready
-
-
-def test_draining_server_does_not_become_ready(heartbeat_app):
-    """Ignore ready heartbeats, late or new, of a server that drains."""
-    heartbeat_app.handle_heartbeat(
-        'i-1', build_heartbeat(state='draining', sequence=8)
-    )
-    heartbeat_app.handle_heartbeat('i-1', build_heartbeat(sequence=7))
-    heartbeat_app.handle_heartbeat('i-1', build_heartbeat(sequence=9))
-    assert not heartbeat_app.guard.backend.is_ready
-
-
-def test_heartbeat_of_an_earlier_server_process_is_ignored(heartbeat_app):
-    """Accept heartbeats only of the server started last at the address."""
-    heartbeat_app.handle_heartbeat(
-        'i-2', build_heartbeat(born=2000, sequence=0)
-    )
-    heartbeat_app.handle_heartbeat(
-        'i-1', build_heartbeat(state='draining', sequence=90)
-    )
-    assert heartbeat_app.guard.backend.is_ready
-    assert heartbeat_app.guard.backend.instance == 'i-2'
-
-
-@pytest.mark.parametrize(
-    'changes',
-    [{'address': '10.0.0.8:1'}, {'service': 'other'}, {'state': 'odd'}],
-)
-def test_forged_heartbeat_is_rejected(heartbeat_app, changes):
-    """Reject a heartbeat that does not match the local server."""
-    assert (
-        heartbeat_app.handle_heartbeat('i-3', build_heartbeat(**changes)) == 400
-    )
-    assert not heartbeat_app.guard.backend.is_ready
-
-
 def test_platform_names_occur_only_in_the_platform_folder():
     """Keep the wire names of the platform out of the other folders."""
     words = re.compile(
--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -11,14 +11,14 @@
 from limpetshore.metrics import Metrics
 from limpetshore.platform import wire
 from limpetshore.platform.dialects import PlatformBackendDialect
-from limpetshore.platform.health import query_server
+from limpetshore.platform.health import query_instance
 from limpetshore.protocol.exchanges import InboundRequest, OutboundRequest
 from limpetshore.protocol.messages import CallMeta
 from limpetshore.routing.guard import Guard, GuardExchange
 from limpetshore.settings import check_settings
 from limpetshore.state.backends import Announcement
 from limpetshore.state.fencing import FencingState
-from limpetshore.transport.http_client import MAX_BUFFERED_BYTES
+from limpetshore.transport.http_client import MAX_BUFFERED_BYTES, Address
 from limpetshore.verdicts import Verdict
 
 HOST, PORT = '127.0.9.7', 7413
@@ -290,7 +290,6 @@
     )
 
     async def work(guard):
-        found = await query_server(guard.settings, '/health', 20)
-        return found.slots
+        return await query_instance(Address(HOST, PORT), '/health')
 
-    assert run_against_server([[answer]], work) == 20
+    assert run_against_server([[answer]], work) == '\xff\xfe'
