Log each request whose connection closes without a complete answer

Whether the node, the server or the caller had ended it could not be told.

Change: one line at info level with request id, cause (the caller disconnected, the node stops, or the error of the answer), whether the answer had begun, the servers tried and the seconds since the request came.

--- a/limpetshore/routing/ingress.py
+++ b/limpetshore/routing/ingress.py
@@ -1,5 +1,7 @@
 """Serve requests of callers and of the local backend server."""
 
+from typing import Any
+
 import anyio
 from logbook import Logger
 
@@ -33,7 +35,12 @@
 
     async def serve(self, request: ServerRequest) -> None:
         """Answer one request or refuse it."""
-        await RequestHandler(self, request).run()
+        handler = RequestHandler(self, request)
+        try:
+            await handler.run()
+        finally:
+            if not request.is_answered:
+                handler.log_cut()
 
 
 def read_host(headers: Headers) -> str:
@@ -60,6 +67,7 @@
         self.identity = RequestIdentity('', is_from_caller=False, root='')
         self.call: RoutedCall | None = None
         self.attempts: Attempts | None = None
+        self.cut_detail = ''
 
     async def run(self) -> None:
         """Answer the request or refuse it; count an unexpected error."""
@@ -71,7 +79,7 @@
             )
         except (CallerDisconnectedError, TruncatedError) as error:
             # The server closes the connection of an incomplete answer.
-            logger.debug('answer aborted: {0}', error)
+            self.cut_detail = str(error)
         except Exception:
             self.state.metrics.report_defect('ingress')
             raise
@@ -93,7 +101,6 @@
 
     def log_refusal(self, refusal: Refusal) -> None:
         """Log the reason of a refusal and the details of its request."""
-        call = self.call
         logger.info(
             'refused: {0}',
             refusal.reason.value,
@@ -102,13 +109,34 @@
                 'verdict': refusal.verdict.value,
                 'detail': refusal.detail,
                 'retry_after_s': round(refusal.retry_after_s, 3),
-                'customer': call.origin.context.customer if call else '',
-                'service': call.service if call else '',
-                'tried': self.attempts.tried if self.attempts else [],
-                'after_s': round(clock.now() - self.started_at, 3),
+                **self.describe(),
+            },
+        )
+
+    def log_cut(self) -> None:
+        """Log why a request ends without a complete answer."""
+        is_left = self.request.is_disconnected
+        cause = 'the caller disconnected' if is_left else 'the node stops'
+        logger.info(
+            'connection closed without a complete answer',
+            extra={
+                'request_id': self.identity.text,
+                'detail': self.cut_detail or cause,
+                'has_started': self.sender.has_started,
+                **self.describe(),
             },
         )
 
+    def describe(self) -> dict[str, Any]:
+        """Return the details of the request that each log line has."""
+        call = self.call
+        return {
+            'customer': call.origin.context.customer if call else '',
+            'service': call.service if call else '',
+            'tried': self.attempts.tried if self.attempts else [],
+            'after_s': round(clock.now() - self.started_at, 3),
+        }
+
     async def serve(self) -> None:
         """Resolve the call, then forward it to a server."""
         self.identity = self.dialect.read_request_id(self.headers)
