End each answer with the time of its request, head or body

Cause: the wait for a head was bounded by the deadline; each wait for a piece of a body only by call.stall_s, anew for each piece.

Change: the deadline belongs to the exchange (HttpConnection.end_by): waiting to send, for a head and for a body end with it, on the hop to the server and on that to the other node, whatever the framing. An answer that has begun may end 0.2 s later, within the half second that is allowed; what has arrived whole is delivered at the pace of its caller, while a caller that reads too slowly to take in the rest by the deadline ends the answer. The body of a request must arrive by the deadline too. A short answer cut after the deadline is refused with 'deadline' (504) instead of 'truncated' (502).

Tests get a loopback address of their own for each run: two runs beside each other had collided.

--- a/limpetshore/clock.py
+++ b/limpetshore/clock.py
@@ -8,6 +8,8 @@
 
 TimeSource = Callable[[], float]
 
+NO_DEADLINE = float('inf')
+
 
 class ProcessClock:
     """Hold the time source of this process, which tests can replace."""
--- a/limpetshore/errors.py
+++ b/limpetshore/errors.py
@@ -60,6 +60,10 @@
     """Report an answer that ended or stalled before it was complete."""
 
 
+class OverdueError(TruncatedError):
+    """Report an answer that did not end in the time of its request."""
+
+
 class TooLongError(TransportError):
     """Report a head, or a train of answers, that does not end."""
 
--- a/limpetshore/protocol/bodies.py
+++ b/limpetshore/protocol/bodies.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from limpetshore import clock
 from limpetshore.errors import LimpetshoreError, refuse
 from limpetshore.protocol.dialects import RenderedRefusal
 from limpetshore.protocol.messages import get_header
@@ -20,9 +21,15 @@
 class RequestBody:
     """Read the body of one request, up to `max_body_bytes`."""
 
-    def __init__(self, request: ServerRequest, limits: CallSection) -> None:
+    def __init__(
+        self,
+        request: ServerRequest,
+        limits: CallSection,
+        deadline: float = clock.NO_DEADLINE,
+    ) -> None:
         """Refuse the request if its Content-Length exceeds the limit."""
         self.request = request
+        self.deadline = deadline
         self.max_bytes = limits.max_body_bytes
         self.stall_s = limits.stall_s
         self.length = get_header(request.headers, b'content-length')
@@ -39,15 +46,19 @@
         """Return the bytes that arrived since the last call, or wait for some.
 
         Raise CallerDisconnectedError if the caller disconnects or sends
-        nothing for `stall_s` seconds. Refuse a body that exceeds the limit.
+        nothing for `stall_s` seconds. Refuse a body that exceeds the limit,
+        or that is not read by the deadline.
         """
         request = self.request
         chunk = b''
         if request.body or request.is_body_complete:
             chunk = await request.read_body()
         else:
-            with anyio.move_on_after(self.stall_s):
+            remaining_s = max(0, self.deadline - clock.now())
+            with anyio.move_on_after(min(self.stall_s, remaining_s)):
                 chunk = await request.read_body()
+        if not chunk and clock.now() >= self.deadline:
+            raise refuse(Reason.DEADLINE, 'the body came too slowly')
         if not chunk and not request.is_body_complete:
             raise CallerDisconnectedError(
                 'the caller disconnected or stalled while sending its request'
@@ -80,11 +91,13 @@
 class AnswerSender:
     """Send the answer to one request.
 
-    A caller that reads nothing for `stall_s` seconds ends the answer.
+    A caller that reads nothing for `stall_s` seconds ends the answer, and so
+    does one that has not read enough by `deadline`.
     """
 
     def __init__(self, request: ServerRequest, stall_s: float) -> None:
         """Prepare to answer; nothing is sent yet."""
+        self.deadline = clock.NO_DEADLINE
         self.request = request
         self.stall_s = stall_s
 
@@ -110,7 +123,7 @@
         """Send a chunk of the body and wait while the send buffer is full.
 
         Raise CallerDisconnectedError if the caller reads nothing for
-        `stall_s` seconds.
+        `stall_s` seconds or until the deadline.
         """
         request = self.request
         request.send_body(chunk, is_last=is_last)
@@ -118,7 +131,8 @@
             return
         if is_last and not request.is_oldest:
             return
-        with anyio.move_on_after(self.stall_s):
+        remaining_s = max(0, self.deadline - clock.now())
+        with anyio.move_on_after(min(self.stall_s, remaining_s)):
             await request.drain()
             return
         self.request.is_answered = False
--- a/limpetshore/protocol/exchanges.py
+++ b/limpetshore/protocol/exchanges.py
@@ -9,7 +9,9 @@
 from limpetshore import clock
 from limpetshore.errors import (
     LimpetshoreError,
+    OverdueError,
     RefusedError,
+    TransportError,
     TruncatedError,
     refuse,
 )
@@ -26,6 +28,9 @@
 from limpetshore.transport.responses import Headers, ResponseHead
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
+# An answer that has begun may end so long after the deadline of its request.
+ANSWER_TAIL_S = 0.2
+
 
 def forbid_retry() -> bool:
     """Return False: the request must not be sent to another server."""
@@ -53,14 +58,18 @@
     request: ServerRequest,
     dropped: frozenset[bytes],
     limits: CallSection,
+    deadline: float,
 ) -> InboundRequest:
-    """Read the head of a request and about `replay_bytes` of its body."""
+    """Read the head of a request and about `replay_bytes` of its body.
+
+    Refuse the request if that takes longer than until the deadline.
+    """
     headers = strip_hop_headers(request.headers, dropped)
     method, target = request.method, request.target
     if request.is_body_complete and not request.body:
         length = get_header(request.headers, b'content-length')
         return InboundRequest(method, target, headers, b'', None, length)
-    body = RequestBody(request, limits)
+    body = RequestBody(request, limits, deadline)
     body_start = await body.read_prefix(limits.replay_bytes)
     body_rest = None if body.is_complete else body.read_remaining()
     return InboundRequest(
@@ -121,9 +130,17 @@
     def take_buffered_body(self) -> bytes | None:
         """Return the body if all of it was received, else None."""
 
+    @property
+    @abstractmethod
+    def is_complete(self) -> bool:
+        """Tell whether all of the answer was received."""
+
     @abstractmethod
     async def read_chunk(self) -> bytes:
-        """Return the next chunk of the body, empty at its end."""
+        """Return the next chunk of the body, empty at its end.
+
+        Raise OverdueError if the body does not end in time.
+        """
 
     @abstractmethod
     async def close(self) -> None:
@@ -204,11 +221,19 @@
     try:
         return await connection.read_chunk(stall_s)
     except TimeoutError as error:
-        raise TruncatedError(
+        error_class = OverdueError if connection.is_overdue else TruncatedError
+        raise error_class(
             f'{connection.address} stopped sending its answer',
         ) from error
 
 
+def find_failure_reason(error: TransportError) -> Reason:
+    """Return the reason of a refusal for an exchange that failed."""
+    if isinstance(error, OverdueError):
+        return Reason.DEADLINE
+    return Reason.BROKEN
+
+
 async def read_head_by(
     connection: HttpConnection,
     deadline: float,
--- a/limpetshore/routing/attempts.py
+++ b/limpetshore/routing/attempts.py
@@ -350,7 +350,8 @@
             return
         body = exchange.take_buffered_body()
         if body is None:
-            body = await read_answer_body(exchange)
+            deadline = self.call.origin.context.deadline
+            body = await read_answer_body(exchange, deadline)
         headers = strip_hop_headers(answer.head.headers, NO_DROPPED_HEADERS)
         headers += added_headers
         # Free the slot first, so that a slow caller does not occupy it.
@@ -358,15 +359,19 @@
         self.sender.send_complete(answer.head.status, headers, body)
 
 
-async def read_answer_body(exchange: Exchange) -> bytes:
-    """Return the body of an answer, or refuse an answer that is truncated."""
+async def read_answer_body(exchange: Exchange, deadline: float) -> bytes:
+    """Return the body of an answer, or refuse an answer that is truncated.
+
+    After the deadline, this or the other node may have given it up.
+    """
     chunks = []
     try:
         while chunk := await exchange.read_chunk():
             chunks.append(chunk)
     except TruncatedError as error:
+        is_late = clock.now() >= deadline
         raise refuse(
-            Reason.TRUNCATED,
+            Reason.DEADLINE if is_late else Reason.TRUNCATED,
             str(error),
             verdict=Verdict.MAY_HAVE_RUN,
         ) from error
--- a/limpetshore/routing/guard.py
+++ b/limpetshore/routing/guard.py
@@ -14,16 +14,17 @@
     ConnectionLostError,
     RefusedError,
     TransportError,
-    TruncatedError,
     refuse,
 )
 from limpetshore.metrics import Metrics
 from limpetshore.protocol.dialects import BackendCall, BackendDialect
 from limpetshore.protocol.exchanges import (
+    ANSWER_TAIL_S,
     Answer,
     Exchange,
     GuardRefusalError,
     OutboundRequest,
+    find_failure_reason,
     read_chunk_within,
     read_head_by,
     send_request,
@@ -184,12 +185,10 @@
         self.has_slot = False
         self.has_failed = False
         self.started_at: float = 0
-        self.deadline: float = 0
 
     async def open(self, request: OutboundRequest) -> Answer:
         """Admit the call, send it to the server and wait for the answer."""
         self.meta = request.meta
-        self.deadline = request.deadline
         try:
             return await self.admit_and_send(request)
         except RefusedError as error:
@@ -292,6 +291,7 @@
         """Send the request and wait for the head of the answer."""
         self.register_call(request)
         self.started_at = clock.now()
+        connection.end_by(request.deadline + ANSWER_TAIL_S)
         if request.peer_request and not request.meta.is_repeatable:
             request.peer_request.survives_disconnect = True
         try:
@@ -300,7 +300,7 @@
             head = await self.read_matching_head(connection, request)
         except TransportError as error:
             raise refuse(
-                Reason.BROKEN,
+                find_failure_reason(error),
                 str(error),
                 verdict=Verdict.MAY_HAVE_RUN,
             ) from error
@@ -384,14 +384,14 @@
             self.record_complete_answer()
         return body
 
-    async def read_chunk(self) -> bytes:
-        """Return the next chunk of the answer, empty at its end.
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether all of the answer was received."""
+        return self.connection.is_answer_complete
 
-        An answer that still comes long after the deadline has no end.
-        """
+    async def read_chunk(self) -> bytes:
+        """Return the next chunk of the answer, empty at its end."""
         stall_s = self.guard.settings.call.stall_s
-        if clock.now() > self.deadline + stall_s:
-            raise TruncatedError('the answer goes on after its deadline')
         chunk = await read_chunk_within(self.connection, stall_s)
         if not chunk:
             self.record_complete_answer()
--- a/limpetshore/routing/ingress.py
+++ b/limpetshore/routing/ingress.py
@@ -16,7 +16,11 @@
     send_refusal,
 )
 from limpetshore.protocol.dialects import RequestIdentity
-from limpetshore.protocol.exchanges import InboundRequest, read_inbound_request
+from limpetshore.protocol.exchanges import (
+    ANSWER_TAIL_S,
+    InboundRequest,
+    read_inbound_request,
+)
 from limpetshore.protocol.messages import get_header
 from limpetshore.routing.attempts import Attempts, RoutedCall
 from limpetshore.routing.authentication import ANONYMOUS
@@ -188,10 +192,13 @@
             # A caller resends pipelined requests that follow an answer with
             # "connection: close", so this one must not run before its turn.
             await self.request.wait_turn()
+        deadline = call.origin.context.deadline
+        self.sender.deadline = deadline + ANSWER_TAIL_S
         inbound = await read_inbound_request(
             self.request,
             self.dialect.dropped_headers,
             self.state.settings.call,
+            deadline,
         )
         if inbound.body_rest is None:
             failure = await self.attempts.run(inbound)
--- a/limpetshore/routing/peer_app.py
+++ b/limpetshore/routing/peer_app.py
@@ -12,6 +12,7 @@
 )
 from limpetshore.protocol.dialects import NativeCallerDialect
 from limpetshore.protocol.exchanges import (
+    ANSWER_TAIL_S,
     GuardRefusalError,
     OutboundRequest,
     read_inbound_request,
@@ -76,9 +77,10 @@
         """
         call = self.guard.settings.call
         deadline = clock.now() + meta.timeout_ms / MS_PER_S
+        sender.deadline = deadline + ANSWER_TAIL_S
         try:
             inbound = await read_inbound_request(
-                request, DROPPED_PEER_HEADERS, call
+                request, DROPPED_PEER_HEADERS, call, deadline
             )
         except RefusedError as error:
             answer_meta = self.guard.build_answer_meta(error.refusal)
--- a/limpetshore/routing/peer_calls.py
+++ b/limpetshore/routing/peer_calls.py
@@ -16,10 +16,12 @@
     refuse,
 )
 from limpetshore.protocol.exchanges import (
+    ANSWER_TAIL_S,
     Answer,
     Exchange,
     GuardRefusalError,
     OutboundRequest,
+    find_failure_reason,
     read_chunk_within,
     send_request,
 )
@@ -79,13 +81,14 @@
             raise refuse(Reason.UNREACHABLE, str(error)) from error
         meta = (CALL_HEADER, json_encoder.encode(request.meta))
         self.sent_at = clock.now()
+        self.connection.end_by(request.deadline + ANSWER_TAIL_S)
         try:
             await send_request(self.connection, request.inbound, [meta])
             head = await self.wait_head(request)
         except (ConnectionLostError, TruncatedError) as error:
             verdict = await self.probe_verdict(request)
             raise refuse(
-                Reason.BROKEN,
+                find_failure_reason(error),
                 str(error),
                 verdict=verdict,
             ) from error
@@ -220,7 +223,7 @@
         with anyio.move_on_after(ANSWER_GRACE_S):
             try:
                 await self.connection.read_all()
-            except TruncatedError:
+            except (TruncatedError, TimeoutError):
                 return
 
     @property
@@ -232,6 +235,11 @@
         """Return the body if all of it has been received, else None."""
         return self.connection.take_buffered_body()
 
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether all of the answer was received."""
+        return self.connection.is_answer_complete
+
     async def read_chunk(self) -> bytes:
         """Return the next chunk of the answer, empty at its end."""
         return await read_chunk_within(self.connection, self.stall_s)
--- a/limpetshore/transport/http_client.py
+++ b/limpetshore/transport/http_client.py
@@ -13,6 +13,7 @@
 from limpetshore.errors import (
     ConnectError,
     ConnectionLostError,
+    OverdueError,
     TooLongError,
     TruncatedError,
 )
@@ -67,6 +68,7 @@
         self.parse_error: Exception | None = None
         self.must_close = False
         self.request_count = 0
+        self.deadline = clock.NO_DEADLINE
         self.refused_ids: set[str] = set()
         self.pool: HttpPool | None = None
 
@@ -140,7 +142,33 @@
             raise ConnectionLostError(f'{self.address} hung up')
         self.transport.write(chunk)
         if self.write_waiter is not None:
-            await self.write_waiter
+            await self.wait_writable(self.write_waiter)
+
+    async def wait_writable(self, waiter: asyncio.Future[None]) -> None:
+        """Wait until the send buffer has room; raise OverdueError if late."""
+        timer = self.start_timer(waiter, self.deadline)
+        try:
+            await waiter
+        except TimeoutError as error:
+            raise OverdueError(
+                f'{self.address} does not read its request'
+            ) from error
+        finally:
+            if timer is not None:
+                timer.cancel()
+
+    def end_by(self, deadline: float) -> None:
+        """Set when the exchange must have ended, in time of `clock.now`.
+
+        All waits end then, and an answer that goes on is given up, however
+        its body is framed.
+        """
+        self.deadline = self.loop.time() + deadline - clock.now()
+
+    @property
+    def is_overdue(self) -> bool:
+        """Tell whether the deadline of the exchange has passed."""
+        return self.loop.time() >= self.deadline
 
     async def read_head(self, timeout_s: float | None = None) -> ResponseHead:
         """Wait for the head of the answer, or raise TimeoutError."""
@@ -150,6 +178,11 @@
             await self.wait_received(ConnectionLostError, deadline)
         return response.head
 
+    @property
+    def is_answer_complete(self) -> bool:
+        """Tell whether all of the answer was received."""
+        return self.reader.current.is_complete
+
     @property
     def has_chunk(self) -> bool:
         """Tell whether `read_chunk` returns without waiting."""
@@ -157,8 +190,13 @@
         return bool(response.body) or response.is_complete
 
     async def read_chunk(self, timeout_s: float | None = None) -> bytes:
-        """Return the next chunk of the body, empty at its end."""
+        """Return the next chunk of the body, empty at its end.
+
+        Raise OverdueError at the deadline unless all of the body is here.
+        """
         response = self.reader.current
+        if not response.is_complete and self.is_overdue:
+            raise OverdueError(f'{self.address} does not end its answer')
         deadline = self.find_deadline(timeout_s)
         while not response.body and not response.is_complete:
             await self.wait_received(TruncatedError, deadline)
@@ -222,14 +260,24 @@
                 raise TooLongError(f'{self.address} sent a body too long')
         return b''.join(chunks)
 
-    def find_deadline(self, timeout_s: float | None) -> float | None:
+    def find_deadline(self, timeout_s: float | None) -> float:
         """Return when a wait of `timeout_s` ends, in time of the event loop."""
-        return None if timeout_s is None else self.loop.time() + timeout_s
+        if timeout_s is None:
+            return self.deadline
+        return min(self.deadline, self.loop.time() + timeout_s)
+
+    def start_timer(
+        self, waiter: asyncio.Future[None], deadline: float
+    ) -> asyncio.TimerHandle | None:
+        """Fail a waiter at a deadline, a time of the event loop."""
+        if deadline == clock.NO_DEADLINE:
+            return None
+        return self.loop.call_at(deadline, fail_waiter, waiter)
 
     async def wait_received(
         self,
         error_class: type[ConnectionLostError | TruncatedError],
-        deadline: float | None,
+        deadline: float,
     ) -> None:
         """Wait for more bytes.
 
@@ -243,9 +291,7 @@
             raise error_class(f'{self.address} ended early')
         waiter = self.loop.create_future()
         self.read_waiter = waiter
-        timer = None
-        if deadline is not None:
-            timer = self.loop.call_at(deadline, fail_waiter, waiter)
+        timer = self.start_timer(waiter, deadline)
         try:
             await waiter
         finally:
@@ -330,6 +376,7 @@
 
     def release(self, connection: HttpConnection) -> None:
         """Keep the connection if it can be reused, else close it."""
+        connection.deadline = clock.NO_DEADLINE
         if connection.is_reusable:
             connection.idle_since = clock.now()
             self.idle.append(connection)
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -16,7 +16,9 @@
     (least size of the body in bytes), `x-nested` (comma-separated paths to
     call in sequence through the local node; what follows `>` is sent along
     as the `x-nested` of that call), `x-cut` (end the body early, after so
-    many bytes), `x-stall` (send the head and no body for an hour).
+    many bytes), `x-stall` (send the head and no body for an hour),
+    `x-trickle` (send a byte of the body now and then for an hour; its value
+    is the content length, empty for chunks).
     """
 
     def __init__(self, name, slots, service_s, node_address):
@@ -132,6 +134,8 @@
                 'nested': statuses,
             }
         ).encode()
+        if b'x-trickle' in headers:
+            return await self.trickle(send, headers[b'x-trickle'])
         min_bytes = int(headers.get(b'x-size', b'0'))
         total_bytes = max(min_bytes, len(body))
         await send(
@@ -166,6 +170,26 @@
                 }
             )
 
+    async def trickle(self, send, content_length):
+        """Send a body that does not end for an hour."""
+        lengths = [(b'content-length', content_length)]
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': 200,
+                'headers': lengths if content_length else [],
+            }
+        )
+        for _ in range(36000):
+            await send(
+                {
+                    'type': 'http.response.body',
+                    'body': b'.',
+                    'more_body': True,
+                }
+            )
+            await anyio.sleep(0.1)
+
     def counts(self):
         """Return the counts of calls and runs as JSON."""
         return json.dumps(
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,6 +1,7 @@
 """Send requests to a running fleet and read the answers."""
 
 import json
+import os
 import secrets
 import socket
 import time
@@ -10,6 +11,9 @@
 
 from tests.builders import KEY
 
+# Of its own for each run, so that runs beside each other do not collide.
+LOOPBACK_HOST = f'127.9.{os.getpid() % 250}.7'
+
 
 class Reply(NamedTuple):
     """Hold an answer as a caller receives it; header names in lower case."""
--- a/tests/test_call_server.py
+++ b/tests/test_call_server.py
@@ -6,8 +6,9 @@
 
 from limpetshore.transport.call_server import CallApp, CallServer
 from limpetshore.transport.http_client import Address
+from tests.support import LOOPBACK_HOST
 
-ADDRESS = Address('127.0.9.7', 7411)
+ADDRESS = Address(LOOPBACK_HOST, 7411)
 SLOW_PATH = '/slow'
 
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -23,8 +23,9 @@
 from limpetshore.settings import parse_address
 from limpetshore.transport.call_server import CallServer
 from limpetshore.transport.http_client import HttpPool
+from tests.support import LOOPBACK_HOST
 
-ADDRESS = '127.0.9.1:7002'
+ADDRESS = f'{LOOPBACK_HOST}:7002'
 
 
 class HangingHandler(ControlHandler):
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -9,8 +9,9 @@
 
 from limpetshore.errors import ConnectionLostError, TruncatedError
 from limpetshore.transport.http_client import Address, HttpPool
+from tests.support import LOOPBACK_HOST
 
-ADDRESS = Address('127.0.9.8', 7412)
+ADDRESS = Address(LOOPBACK_HOST, 7412)
 HEADERS = [(b'host', b'x')]
 
 
