Log the source of a policy and the age of the last store read before it

Change: the line of a policy that becomes active has the node that sent it, or 'store', and how old the last known read of the store was.

--- a/limpetshore/coordination/fleet.py
+++ b/limpetshore/coordination/fleet.py
@@ -66,12 +66,15 @@
         document = self.documents.get(name)
         return document.version if document else 0
 
-    def adopt(self, name: str, document: Document) -> bool:
-        """Apply a document if it is newer and valid; return True if applied."""
+    def adopt(self, name: str, document: Document, source: str = '') -> bool:
+        """Apply a document if it is newer and valid; return True if applied.
+
+        `source` is the node that sent it, for the log; empty for the store.
+        """
         if document.version <= self.version(name):
             return False
         try:
-            self.apply_document(name, document)
+            self.apply_document(name, document, source)
         except (ValueError, TypeError, LookupError) as error:
             self.metrics.bad_input.labels(name).inc()
             logger.error(
@@ -85,7 +88,9 @@
         self.documents[name] = document
         return True
 
-    def apply_document(self, name: str, document: Document) -> None:
+    def apply_document(
+        self, name: str, document: Document, source: str
+    ) -> None:
         """Decode a document and make it the current one."""
         if name == LEDGER_KIND:
             ledger = decode_ledger(document.content)
@@ -105,6 +110,10 @@
             index.policy.number,
             extra={
                 'version': document.version,
+                'source': source or 'store',
+                'store_age_s': min(
+                    MAX_STORE_AGE_S, round(self.fencing.store_age_s, 3)
+                ),
                 'routes': len(index.policy.routes),
                 'customers': {
                     name: customer.importance or customer.most_important
--- a/limpetshore/coordination/gossip.py
+++ b/limpetshore/coordination/gossip.py
@@ -312,11 +312,14 @@
         except PeerError as error:
             logger.debug('{0} not fetched from {1}: {2}', name, address, error)
             return
-        self.adopt(name, document)
+        self.adopt(name, document, address)
 
-    def adopt(self, name: str, document: Document) -> None:
-        """Apply a document and push it to peers if it is newer."""
-        if self.fleet.adopt(name, document):
+    def adopt(self, name: str, document: Document, source: str = '') -> None:
+        """Apply a document and push it to peers if it is newer.
+
+        `source` is the address of the node that sent it, if one did.
+        """
+        if self.fleet.adopt(name, document, source):
             self.request_push()
 
     def request_push(self) -> None:
