Read the store before the bound, whoever is left alive

Cause: nodes that do not watch the store read it once the last known read was 2.5 s to 3 s old, with pauses of up to 1.5 s; constants above the bound of 2 s.

Ruled out: taking broken connections to all watchers as a reason to read. A loss of power breaks none; an age holds for it, too.

Change: fleet.apply_s, which the template takes from configApplyMs; all ages and pauses of reading are shares of it (plan_reading). Substitutes read at 0.65 of it, any other node at 0.75 to 0.8. A watch lasts at most 0.3 of it, as ages count from when a read began. The ages of other nodes and of own attempts are no longer needed.

--- a/limpetshore/coordination/gossip.py
+++ b/limpetshore/coordination/gossip.py
@@ -9,7 +9,11 @@
 from limpetshore import clock
 from limpetshore.coordination.fleet import LEDGER_KIND, POLICY_KIND, FleetState
 from limpetshore.decisions.conserved_budgets import ConservedBudgets
-from limpetshore.decisions.watching import list_children, list_sources
+from limpetshore.decisions.watching import (
+    list_children,
+    list_sources,
+    plan_reading,
+)
 from limpetshore.errors import PeerError
 from limpetshore.protocol.control import ControlClient, ControlHandler
 from limpetshore.protocol.messages import (
@@ -31,9 +35,6 @@
 EXCHANGE_TIMEOUT_S = 0.8
 FETCH_TIMEOUT_S = 2.0
 JOIN_TIMEOUT_S = 0.6
-# A node asks its relay once the last read of the store is so old.
-REFRESH_AGE_S = 2.2
-REFRESH_PERIOD_S = 0.3
 JITTER_SHARE = 0.3
 FULL_EXCHANGE_DELAY_S = 3  # shorter differences are changes in transit
 PUSH_FANOUT = 3
@@ -54,6 +55,7 @@
         self.fleet = fleet
         self.client = client
         self.settings = settings
+        self.plan = plan_reading(settings.reading_bound_s)
         self.rng = rng
         self.ranking = fleet.ranking
         self.peer_answered_at = float('-inf')
@@ -89,19 +91,22 @@
         """
         while True:
             # It cannot be that old any sooner.
-            remaining_s = REFRESH_AGE_S - self.fleet.fencing.store_age_s
+            store_age_s = self.fleet.fencing.store_age_s
+            remaining_s = self.plan.refresh_s - store_age_s
             if remaining_s < 0:
                 await self.refresh()
             jitter = self.rng.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
-            await anyio.sleep(max(REFRESH_PERIOD_S * jitter, remaining_s))
+            period_s = self.plan.refresh_period_s * jitter
+            await anyio.sleep(max(period_s, remaining_s))
 
     async def refresh(self) -> None:
         """Exchange with the nodes that may have read the store later."""
+        store_age_s = self.fleet.fencing.store_age_s
         ranks = list_sources(
             self.ranking.rank(),
             self.settings.watchers,
-            self.fleet.fencing.store_age_s,
-            self.rng,
+            is_takeover_due=store_age_s > self.plan.takeover_s,
+            rng=self.rng,
         )
         found = [self.ranking.find(rank) for rank in ranks]
         async with anyio.create_task_group() as tasks:
--- a/limpetshore/coordination/store_sync.py
+++ b/limpetshore/coordination/store_sync.py
@@ -15,10 +15,9 @@
 from limpetshore.coordination.joining import Joining
 from limpetshore.decisions.watching import (
     SUBSTITUTION_S,
-    TAKEOVER_AGE_S,
-    ContactAges,
+    find_reading_age,
     is_substitute,
-    must_read_store,
+    plan_reading,
 )
 from limpetshore.errors import StoreError, StoreHistoryError
 from limpetshore.protocol.messages import MAX_STORE_AGE_S, Document
@@ -32,10 +31,10 @@
 MAX_COUNTED_FAILURES = 8
 JITTER_SHARE = 0.5
 # Of a node that does not read the store, until it checks whether it has to.
-MIN_IDLE_PAUSE_S = 0.25
-MAX_IDLE_PAUSE_S = 1.0
-# Age at which a node that has heard nothing since its start begins.
-INITIAL_AGE_S = 2.5
+MIN_IDLE_PAUSE_S = 0.02
+# Longest pauses, as shares of the time in which a change must be active.
+IDLE_PAUSE_SHARE = 0.2
+BACKOFF_SHARE = 0.4
 
 
 class StoreSync:
@@ -53,12 +52,17 @@
         watch_s: float,
         rng: random.Random,
     ) -> None:
-        """Start with nothing read; a watch waits `watch_s` for a change."""
+        """Start with nothing read.
+
+        A watch waits `watch_s` for a change, less if changes must be active
+        soon.
+        """
         self.store = store
         self.fleet = fleet
         self.gossip = gossip
         self.settings = settings
-        self.watch_s = watch_s
+        self.plan = plan_reading(settings.reading_bound_s)
+        self.watch_s = min(watch_s, self.plan.watch_s)
         self.rng = rng
         self.ranking = fleet.ranking
         self.joining = Joining(store, fleet, gossip, rng)
@@ -69,7 +73,6 @@
         self.is_unavailable = False
         self.failures = 0
         self.started_at = clock.now()
-        self.attempted_at = float('-inf')
         self.substitutes_until = float('-inf')
         self.random_share = rng.random()
 
@@ -113,50 +116,53 @@
         """Wait before the next call, with exponential backoff and jitter."""
         backoff_s = INITIAL_PAUSE_S * 2**self.failures
         self.failures = min(MAX_COUNTED_FAILURES, self.failures + 1)
-        await anyio.sleep(self.jitter(min(MAX_PAUSE_S, backoff_s)))
+        longest_s = BACKOFF_SHARE * self.settings.reading_bound_s
+        longest_s = min(MAX_PAUSE_S, longest_s)
+        await anyio.sleep(self.jitter(min(longest_s, backoff_s)))
 
     def jitter(self, seconds: float) -> float:
         """Vary a period at random, so that nodes do not act simultaneously."""
         return seconds * self.rng.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
 
-    def measure_contact_ages(self) -> ContactAges:
-        """Return how long ago this node heard of the store and of others."""
+    @property
+    def known_age_s(self) -> float:
+        """Return the age of the last read of the store that is known here.
+
+        A node that has heard of none since its start lets the substitutes
+        begin.
+        """
         since_start_s = clock.now() - self.started_at
-        return ContactAges(
-            store_age_s=min(
-                self.fleet.fencing.store_age_s, INITIAL_AGE_S + since_start_s
-            ),
-            peer_age_s=min(self.gossip.peer_age_s, since_start_s),
-            attempt_age_s=clock.now() - self.attempted_at,
+        return min(
+            self.fleet.fencing.store_age_s,
+            self.plan.takeover_s + since_start_s,
         )
 
     async def sync_once(self) -> None:
         """Read or watch the store once, or wait if others do that."""
         rank = self.ranking.rank()
         watchers = self.settings.watchers
-        ages = self.measure_contact_ages()
-        is_due = must_read_store(rank, watchers, ages, self.random_share)
-        if not is_due and clock.now() >= self.substitutes_until:
+        reading_age_s = find_reading_age(
+            rank, watchers, self.plan, self.random_share
+        )
+        remaining_s = reading_age_s - self.known_age_s
+        if remaining_s > 0 and clock.now() >= self.substitutes_until:
             self.revision = None
-            await anyio.sleep(self.choose_pause_s(ages))
+            await anyio.sleep(self.choose_pause_s(remaining_s))
             return
-        self.attempted_at = clock.now()
         if self.revision is None:
             await self.read_documents()
         else:
             await self.watch()
         self.mark_available()
-        if is_due and is_substitute(rank, watchers):
+        if remaining_s <= 0 and is_substitute(rank, watchers):
             self.substitutes_until = clock.now() + SUBSTITUTION_S
 
-    def choose_pause_s(self, ages: ContactAges) -> float:
+    def choose_pause_s(self, remaining_s: float) -> float:
         """Return how long the store need not be read by this node.
 
-        The next watchers take over by the age of the last read, which grows by
-        a second a second at most.
+        It may have to be read earlier than in `remaining_s` if ranks change.
         """
-        remaining_s = TAKEOVER_AGE_S - ages.store_age_s
-        longest_s = self.jitter(MAX_IDLE_PAUSE_S)
+        longest_s = IDLE_PAUSE_SHARE * self.settings.reading_bound_s
         return min(longest_s, max(MIN_IDLE_PAUSE_S, remaining_s))
 
     async def read_documents(self) -> None:
--- a/limpetshore/decisions/watching.py
+++ b/limpetshore/decisions/watching.py
@@ -8,71 +8,84 @@
 import random
 from typing import NamedTuple
 
-# Nodes of the next ranks read the store one after the other once its last read
-# is so old. The keys are refused from `fleet.cut_off_s` on.
-TAKEOVER_AGE_S = 3.0
-TAKEOVER_STEP_S = 0.15
+# Shares of the time within which a change in the store must be active on all
+# nodes, by the age of the last read that a node knows of. A read counts from
+# when it began, so that a watcher alone knows of reads up to two watches old.
+# What remains after the last share is for the read itself.
+WATCH_SHARE = 0.3
+REFRESH_SHARE = 0.4
+REFRESH_PERIOD_SHARE = 0.1
+TAKEOVER_SHARE = 0.65
+TAKEOVER_STEP_SHARE = 0.01
+LONE_SHARE = 0.75
+LONE_SPREAD_SHARE = 0.05
+# Nodes that stand in for the watchers, before all others read the store.
 MAX_SUBSTITUTES = 8
 # A substitute that could read the store goes on watching it for this time.
 SUBSTITUTION_S = 10.0
-# A node that no other node answers reads the store by itself.
-ISOLATED_AGE_S = 2.5
-# A node of any rank reads the store by itself before its keys are refused, at
-# random within the spread and not again for the period.
-LAST_RESORT_AGE_S = 3.5
-LAST_RESORT_SPREAD_S = 0.5
-LAST_RESORT_PERIOD_S = 5.0
 RELAY_FANOUT = 8
 # Number of substitutes that are asked how old their last read is.
 ASKED_SUBSTITUTES = 2
 
 
-class ContactAges(NamedTuple):
-    """Tell how long ago a node last heard of the store and of other nodes.
+class ReadingPlan(NamedTuple):
+    """Tell at which ages of the last known read a node acts, in seconds.
 
-    `attempt_age_s` is the time since its own last attempt to read the store.
+    A watch lasts `watch_s`. From `refresh_s` on a node asks others how old
+    their last read is, once in `refresh_period_s`. From `takeover_s` on the
+    substitutes read the store, each `takeover_step_s` after the one before,
+    and between `lone_s` and `lone_s + lone_spread_s` any other node.
     """
 
-    store_age_s: float
-    peer_age_s: float
-    attempt_age_s: float
+    watch_s: float
+    refresh_s: float
+    refresh_period_s: float
+    takeover_s: float
+    takeover_step_s: float
+    lone_s: float
+    lone_spread_s: float
 
 
-def must_read_store(
-    rank: int,
-    watchers: int,
-    ages: ContactAges,
-    random_share: float,
-) -> bool:
-    """Tell whether a node of this rank reads the store now.
-
-    `random_share` is a random number from 0 to 1.
-
-    >>> must_read_store(0, 2, ContactAges(0, 0, 9), 0.5)
-    True
-    >>> must_read_store(2, 2, ContactAges(2.9, 0, 9), 0.5)
-    False
-    >>> must_read_store(2, 2, ContactAges(3.1, 0, 9), 0.5)
-    True
-    >>> must_read_store(99, 2, ContactAges(3.8, 0, 1), 0.5)
-    False
-    >>> must_read_store(99, 2, ContactAges(3.8, 0, 9), 0.5)
-    True
+def plan_reading(bound_s: float) -> ReadingPlan:
+    """Return the ages at which changes are active within `bound_s` seconds.
+
+    The bound holds for a node that no other node answers, too.
+
+    >>> plan = plan_reading(2)
+    >>> plan.takeover_s, plan.lone_s + plan.lone_spread_s
+    (1.3, 1.6)
     """
-    if rank < watchers:
-        return True
-    takeover_age_s = TAKEOVER_AGE_S + TAKEOVER_STEP_S * (rank - watchers)
-    if is_substitute(rank, watchers) and ages.store_age_s > takeover_age_s:
-        return True
-    if min(ages.store_age_s, ages.peer_age_s) > ISOLATED_AGE_S:
-        return True
-    last_resort_age_s = LAST_RESORT_AGE_S + LAST_RESORT_SPREAD_S * random_share
-    return (
-        ages.store_age_s > last_resort_age_s
-        and ages.attempt_age_s > LAST_RESORT_PERIOD_S
+    return ReadingPlan(
+        watch_s=WATCH_SHARE * bound_s,
+        refresh_s=REFRESH_SHARE * bound_s,
+        refresh_period_s=REFRESH_PERIOD_SHARE * bound_s,
+        takeover_s=TAKEOVER_SHARE * bound_s,
+        takeover_step_s=TAKEOVER_STEP_SHARE * bound_s,
+        lone_s=LONE_SHARE * bound_s,
+        lone_spread_s=LONE_SPREAD_SHARE * bound_s,
     )
 
 
+def find_reading_age(
+    rank: int, watchers: int, plan: ReadingPlan, random_share: float
+) -> float:
+    """Return the age of the last known read from which a node reads the store.
+
+    `random_share` is a random number from 0 to 1, which spreads the reads of
+    the nodes that neither watch the store nor stand in for the watchers.
+
+    >>> plan = plan_reading(2)
+    >>> [find_reading_age(rank, 2, plan, 0.5) for rank in (0, 2, 3, 99)]
+    [0, 1.3, 1.32, 1.55]
+    """
+    if rank < watchers:
+        return 0
+    if is_substitute(rank, watchers):
+        turn = rank - watchers
+        return plan.takeover_s + turn * plan.takeover_step_s
+    return plan.lone_s + random_share * plan.lone_spread_s
+
+
 def is_substitute(rank: int, watchers: int) -> bool:
     """Tell whether a node of this rank stands in for the watchers.
 
@@ -96,20 +109,25 @@
 
 
 def list_sources(
-    rank: int, watchers: int, store_age_s: float, rng: random.Random
+    rank: int,
+    watchers: int,
+    *,
+    is_takeover_due: bool,
+    rng: random.Random,
 ) -> list[int]:
     """Return the ranks of the nodes to ask how old their last read is.
 
     They are the parent alone, until others may have taken over the reading.
 
-    >>> list_sources(17, 2, 2.5, random.Random(1))
+    >>> rng = random.Random(1)
+    >>> list_sources(17, 2, is_takeover_due=False, rng=rng)
     [1]
-    >>> list_sources(17, 2, 3.5, random.Random(1))
+    >>> list_sources(17, 2, is_takeover_due=True, rng=rng)
     [0, 1, 2]
     """
     parent = find_parent(rank, watchers)
     sources = set() if parent is None else {parent}
-    if store_age_s > TAKEOVER_AGE_S:
+    if is_takeover_due:
         sources.add(rng.randrange(watchers))
         sources.add(watchers + rng.randrange(ASKED_SUBSTITUTES))
     return sorted(sources)
--- a/limpetshore/settings.py
+++ b/limpetshore/settings.py
@@ -119,10 +119,16 @@
     restart_tokens: Annotated[float, msgspec.Meta(ge=0, le=1000)] = 0
     shards_per_customer: Annotated[int, msgspec.Meta(ge=1, le=16)] = 4
     watchers: Annotated[int, msgspec.Meta(ge=1, le=64)] = 3
+    apply_s: Seconds = 4
     id_window_s: Seconds = 600
     clock_skew_s: Seconds = 2
     keys_need_store: bool = False
 
+    @property
+    def reading_bound_s(self) -> float:
+        """Return the longest time in which the store must have been read."""
+        return min(self.apply_s, self.cut_off_s)
+
 
 class PlatformSection(NamedTuple):
     """Set the addresses that only the platform calls, as `host:port`."""
@@ -265,6 +271,10 @@
         'Number of nodes in the fleet that watch the store; others take over '
         'while these cannot'
     ),
+    'fleet.apply_s': (
+        'Seconds within which a policy is active on each node that reaches the '
+        'store; the nodes read it as often as this needs'
+    ),
     'fleet.id_window_s': (
         'Seconds for which a request id is remembered to detect repeats'
     ),
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -213,7 +213,7 @@
         self.name = name
         self.gate = PauseGate()
         self.versions = []
-        section = FleetSection(seeds=fleet.names)
+        section = FleetSection(seeds=fleet.names, **fleet.settings)
         own = NodeState(
             name,
             incarnation,
@@ -290,8 +290,12 @@
 class SimulatedFleet:
     """Run several nodes, inject faults and count admitted calls."""
 
-    def __init__(self, seed, tasks, *, count=6, rate=30, burst=40):
-        """Set `count` nodes that share the rate and burst of one customer."""
+    def __init__(self, seed, tasks, *, count=6, rate=30, burst=40, **settings):
+        """Set `count` nodes that share the rate and burst of one customer.
+
+        `settings` are those of the section `fleet` that differ from default.
+        """
+        self.settings = settings
         self.rng = random.Random(seed)
         self.tasks = tasks
         self.store = SimulatedStore()
--- a/tests/test_store_reading.py
+++ b/tests/test_store_reading.py
@@ -30,9 +30,9 @@
     return node.fleet.version(POLICY_KIND) > 0
 
 
-async def start_fleet(tasks, count, seed=1):
+async def start_fleet(tasks, count, seed=1, **settings):
     """Start a fleet, wait until all have joined and a ticket is active."""
-    fleet = SimulatedFleet(seed, tasks, count=count)
+    fleet = SimulatedFleet(seed, tasks, count=count, **settings)
     fleet.start_all()
     await fleet.wait_until_all(has_joined)
     customer = build_customer(rate=10, burst=20)
@@ -62,12 +62,12 @@
     return highest
 
 
-def run_with_fleet(work, count=30, seed=1):
+def run_with_fleet(work, count=30, seed=1, **settings):
     """Run `work` with a fleet whose nodes have joined."""
 
     async def run():
         async with anyio.create_task_group() as tasks:
-            fleet = await start_fleet(tasks, count, seed)
+            fleet = await start_fleet(tasks, count, seed, **settings)
             await anyio.sleep(10)
             result = await work(fleet)
             tasks.cancel_scope.cancel()
@@ -143,6 +143,54 @@
     assert run_with_fleet(work, seed=seed) < 2
 
 
+async def measure_change_s(fleet, number):
+    """Return the seconds until a change is active on all running nodes."""
+    customer = build_customer(rate=10 + number, burst=20)
+    ticket = build_ticket(number, customers={'harbour': customer})
+    await fleet.write_ticket(ticket)
+    written_at = clock.now()
+    await fleet.wait_until_all(
+        lambda node: node.fleet.policy.policy.number == number
+    )
+    return clock.now() - written_at
+
+
+@pytest.mark.parametrize('survivors', [1, 2, 5])
+@pytest.mark.parametrize('apply_s', [1, 2, 6])
+@pytest.mark.parametrize('seed', range(2))
+def test_changes_are_active_at_whoever_is_left(seed, apply_s, survivors):
+    """Read the store in time after most nodes, all watchers among them, died.
+
+    Two nodes were left of seventeen. They waited until the last read was 2.5 s
+    to 3 s old, and served a route that had been dropped 2 s before.
+    """
+
+    async def work(fleet):
+        reading = find_reading_names(fleet)
+        left = [name for name in fleet.names if name not in reading]
+        for name in set(fleet.names) - set(left[:survivors]):
+            fleet.crash(name)
+        return [await measure_change_s(fleet, number) for number in (2, 3, 4)]
+
+    taken_s = run_with_fleet(work, 17, seed, apply_s=apply_s)
+    assert max(taken_s) < apply_s
+
+
+@pytest.mark.parametrize('apply_s', [2, 6])
+@pytest.mark.parametrize('seed', range(3))
+def test_change_at_the_start_of_an_outage_of_all_watchers(seed, apply_s):
+    """Have others read in time, as soon as the store turns watchers away.
+
+    It was the case only once the substitutes had taken over, after 3 s.
+    """
+
+    async def work(fleet):
+        fleet.store.blocked_names = set(find_reading_names(fleet))
+        return await measure_change_s(fleet, 2)
+
+    assert run_with_fleet(work, seed=seed, apply_s=apply_s) < apply_s
+
+
 @pytest.mark.parametrize('seed', range(3))
 def test_nodes_cut_off_from_the_watchers(seed):
     """Let the nodes of a partition without watchers read by themselves."""
