Take no request that could outlast a node that stops

Cause: the callers' port stays open while calls run at the local server, for its nested calls; all requests were taken until the exit. The log line on requests without a complete answer names these, with 'the node stops'.

Change: DrainSchedule divides the grace time. During the notice (at most a third of it) all requests are taken. Then only those whose deadline lies before the exit (nine tenths of it); others are refused as 'not run', with the time until the exit as Retry-After. A node with time to spare goes on taking requests. The notice and the margin for the exit follow from the grace time; both were constants, and a grace time of 2 s was spent on the notice alone.

Ruled out: refusing by the usual latency of a route. A server that turns slow would still be cut off.

--- /dev/null
+++ b/limpetshore/decisions/drain_schedule.py
@@ -0,0 +1,48 @@
+"""Decide which requests a node that stops still takes."""
+
+from limpetshore import clock
+
+# Shares of the grace time: the longest notice before the ports close, and when
+# the node ends what is still open, so that it exits before it is killed.
+MAX_NOTICE_SHARE = 1 / 3
+EXIT_SHARE = 0.9
+
+
+class DrainSchedule:
+    """Divide the grace time of a node between notice, last requests and exit.
+
+    During the notice all requests are taken, since callers do not know yet that
+    the node stops. From then on only those whose deadline lies before the exit,
+    since any other may be cut off.
+    """
+
+    def __init__(self, graceful_s: float, notice_s: float) -> None:
+        """Set how long the node may take to stop; `start` begins that time."""
+        self.graceful_s = graceful_s
+        self.notice_s = min(notice_s, MAX_NOTICE_SHARE * graceful_s)
+        self.started_at = clock.NO_DEADLINE
+
+    def start(self) -> None:
+        """Begin the grace time."""
+        self.started_at = clock.now()
+
+    @property
+    def exit_at(self) -> float:
+        """Return when the node ends all that is still open."""
+        return self.started_at + EXIT_SHARE * self.graceful_s
+
+    @property
+    def remaining_s(self) -> float:
+        """Return the seconds until the exit."""
+        return max(0, self.exit_at - clock.now())
+
+    def may_take(self, end_at: float) -> bool:
+        """Tell whether to take a request that ends at `end_at` at the latest.
+
+        >>> schedule = DrainSchedule(6, 2)
+        >>> schedule.started_at = 0
+        >>> schedule.may_take(5.3), round(schedule.exit_at, 3)
+        (True, 5.4)
+        """
+        notice_end = self.started_at + self.notice_s
+        return end_at <= self.exit_at or clock.now() < notice_end
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -48,8 +48,6 @@
 
 UPDATE_PERIOD_S = 0.5
 JOIN_POLL_S = 0.05
-# Part of `call.graceful_s` reserved for closing servers and clients.
-EXIT_MARGIN_S = 0.6
 CONTROL_GRACE_S = 0.2
 LEAVE_POLL_S = 0.05
 GC_THRESHOLDS = (20_000, 50, 100)
@@ -246,14 +244,13 @@
     async def leave(self) -> None:
         """Announce the departure, finish open requests, stop the servers."""
         logger.info('the node is leaving the fleet')
-        exit_deadline = (
-            clock.now() + self.settings.call.graceful_s - EXIT_MARGIN_S
-        )
+        drain = self.ingress.drain
+        drain.start()
         self.announce_leaving()
         if self.grants_budgets:
             await self.ledger_repair.release()
-        await anyio.sleep(self.settings.call.drain_notice_s)
-        await self.finish_calls(max(0, exit_deadline - clock.now()))
+        await anyio.sleep(drain.notice_s)
+        await self.finish_calls(drain.remaining_s)
         logger.info('the node has left the fleet')
 
     async def start(self) -> None:
--- a/limpetshore/routing/ingress.py
+++ b/limpetshore/routing/ingress.py
@@ -193,13 +193,15 @@
             # "connection: close", so this one must not run before its turn.
             await self.request.wait_turn()
         deadline = call.origin.context.deadline
-        self.sender.deadline = deadline + ANSWER_TAIL_S
+        end_at = deadline + ANSWER_TAIL_S
+        self.sender.deadline = end_at
         inbound = await read_inbound_request(
             self.request,
             self.dialect.dropped_headers,
             self.state.settings.call,
             deadline,
         )
+        self.check_drain(end_at)
         if inbound.body_rest is None:
             failure = await self.attempts.run(inbound)
         else:
@@ -216,6 +218,19 @@
             tasks.cancel_scope.cancel()
         return failure
 
+    def check_drain(self, end_at: float) -> None:
+        """Refuse a request that could outlast a node that stops.
+
+        It may return once the node has been started again.
+        """
+        drain = self.state.drain
+        if not drain.may_take(end_at):
+            raise refuse(
+                Reason.DRAINING,
+                'the node stops before the deadline',
+                retry_after_s=drain.remaining_s,
+            )
+
     def check_admission_levels(self, call: RoutedCall) -> None:
         """Refuse a request that a downstream service would likely refuse."""
         levels = (
--- a/limpetshore/routing/ingress_state.py
+++ b/limpetshore/routing/ingress_state.py
@@ -6,6 +6,7 @@
 
 from limpetshore.decisions.admission_levels import ReportedLevel
 from limpetshore.decisions.balancing import Balancer
+from limpetshore.decisions.drain_schedule import DrainSchedule
 from limpetshore.decisions.latency_estimate import LatencyEstimate
 from limpetshore.decisions.retry_budgets import RetryTokens
 from limpetshore.decisions.shedding import IngressShedding
@@ -61,6 +62,8 @@
             self.build_reported_level,
         )
         self.splitter = Splitter()
+        call = settings.call
+        self.drain = DrainSchedule(call.graceful_s, call.drain_notice_s)
         self.shedding = IngressShedding(rng)
         self.latencies: dict[str, LatencyEstimate] = defaultdict(
             LatencyEstimate,
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,162 @@
+"""Test what a node that stops still takes."""
+
+import http.client
+import signal
+import threading
+
+import anyio
+import pytest
+
+from limpetshore.decisions.drain_schedule import DrainSchedule
+from standins.local_fleet import LocalFleet, wait_until
+from tests.builders import KEY, SHORT_FLEET_PERIODS, build_ticket_tables
+from tests.mock_clock import run_on_mock_clock
+from tests.support import call, new_request_id
+
+LAYOUT = [
+    {'name': 'stock-1', 'service': 'stock', 'zone': 'zone-a'},
+    {'name': 'yard-1', 'service': 'yard', 'zone': 'zone-a'},
+]
+SETTINGS = {
+    **SHORT_FLEET_PERIODS,
+    'call': {'graceful_s': 4, 'drain_notice_s': 1},
+}
+WORK_MS = 600
+
+
+@pytest.mark.parametrize(
+    ('after_s', 'lasts_s', 'is_taken'),
+    [
+        (0, 60, True),
+        (1.9, 5, True),
+        (2.1, 5, False),
+        (2.1, 3, True),
+        (4.6, 0.7, True),
+        (4.6, 0.9, False),
+    ],
+)
+def test_request_is_taken_if_it_ends_before_the_exit(
+    after_s, lasts_s, is_taken
+):
+    """Take any request during the notice, then those that surely end in time.
+
+    Requests that came late in the grace time were passed on to servers and cut
+    off when the node exited.
+    """
+
+    async def run():
+        schedule = DrainSchedule(6, 2)
+        schedule.start()
+        await anyio.sleep(after_s)
+        return schedule.may_take(schedule.started_at + after_s + lasts_s)
+
+    assert run_on_mock_clock(run) == is_taken
+
+
+def test_node_with_time_to_spare_takes_requests():
+    """Take requests for most of a long grace time."""
+
+    async def run():
+        schedule = DrainSchedule(60, 2)
+        schedule.start()
+        await anyio.sleep(48)
+        return schedule.may_take(schedule.started_at + 53)
+
+    assert run_on_mock_clock(run)
+
+
+def test_short_grace_time_is_not_spent_on_the_notice():
+    """Leave most of a short grace time to open requests."""
+
+    async def run():
+        schedule = DrainSchedule(1.5, 2)
+        schedule.start()
+        await anyio.sleep(schedule.notice_s)
+        return schedule.remaining_s
+
+    assert run_on_mock_clock(run) >= 0.8
+
+
+@pytest.fixture
+def fleet():
+    """Run one node for each of two services."""
+    with LocalFleet(LAYOUT, settings=SETTINGS) as running:
+        assert running.apply(build_ticket_tables()).returncode == 0
+        running.wait_ready(ticket=True)
+        for path in ('/stock', '/yard'):
+            entry = running.callers_address('yard-1')
+            wait_until(
+                lambda path=path, entry=entry: call(entry, path).status == 200,
+                'first answer',
+            )
+        yield running
+
+
+class KeptConnection(threading.Thread):
+    """Send one request after the other on a connection until it ends."""
+
+    def __init__(self, address, delay_s):
+        """Send to a node, the first request after a delay."""
+        super().__init__()
+        self.address = address
+        self.delay_s = delay_s
+        self.answers = {}
+
+    def run(self):
+        """Record the status of each answer by request id, None without one."""
+        host, port = self.address.split(':')
+        threading.Event().wait(self.delay_s)
+        connection = http.client.HTTPConnection(host, int(port), timeout=20)
+        request_id = ''
+        try:
+            while True:
+                request_id = new_request_id()
+                self.answers[request_id] = None
+                connection.request(
+                    'POST',
+                    '/stock',
+                    headers={
+                        'authorization': f'Bearer {KEY}',
+                        'x-request-id': request_id,
+                        'x-work-ms': str(WORK_MS),
+                    },
+                )
+                response = connection.getresponse()
+                response.read()
+                self.answers[request_id] = response.status
+        except (http.client.HTTPException, OSError):
+            return
+
+
+def test_request_taken_late_is_not_cut_off(fleet):
+    """Answer each request that reaches a server, however late it came.
+
+    A long call beside the node keeps the port of callers open, and callers use
+    their connections until the process is gone.
+    """
+    entry = fleet.callers_address('yard-1')
+    long_call = threading.Thread(
+        target=call,
+        args=(entry, '/yard'),
+        kwargs={'headers': {'x-work-ms': '3200'}},
+    )
+    long_call.start()
+    wait_until(lambda: fleet.status('yard-1')['in_flight'], 'long call')
+    fleet.signal('yard-1', signal.SIGTERM)
+    callers = [
+        KeptConnection(entry, number * WORK_MS / 1000 / 6)
+        for number in range(6)
+    ]
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+    long_call.join()
+    fleet.processes['yard-1'].wait(10)
+    runs = fleet.counts('stock-1')['runs']
+    answers = {}
+    for caller in callers:
+        answers.update(caller.answers)
+    assert [key for key in runs if answers.get(key, 0) is None] == []
+    assert sum(status == 200 for status in answers.values()) >= 6
+    assert fleet.processes['yard-1'].returncode == 0
