Go on stopping gracefully after a second SIGTERM

Cause: the receiver of the signals was closed after the first one, which restores the default action of SIGTERM; a second one ended the process at once.

Change: the receiver stays open until the node has left the fleet.

Tests: tests/test_drain.py further_signals; on the commit before the open call had no answer ([] == [200]).

--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -51,6 +51,7 @@
 CONTROL_GRACE_S = 0.2
 LEAVE_POLL_S = 0.05
 GC_THRESHOLDS = (20_000, 50, 100)
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class Node(PolicyListener):
@@ -229,16 +230,18 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
-        await self.start()
-        logger.info(
-            'the node accepts calls',
-            extra={'callers': self.settings.listen.callers},
-        )
-        await wait_for_stop()
-        await self.leave()
-        self.control_server.stop()
-        await self.control_server.wait_stopped()
-        self.gossip.client.close()
+        # Further signals must not end the process before its open requests.
+        with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
+            await self.start()
+            logger.info(
+                'the node accepts calls',
+                extra={'callers': self.settings.listen.callers},
+            )
+            await anext(signals)
+            await self.leave()
+            self.control_server.stop()
+            await self.control_server.wait_stopped()
+            self.gossip.client.close()
         self.tasks.cancel_scope.cancel()
 
     async def leave(self) -> None:
@@ -407,12 +410,6 @@
     gc.set_threshold(*GC_THRESHOLDS)
 
 
-async def wait_for_stop() -> None:
-    """Wait for SIGTERM or SIGINT."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        await anext(signals)
-
-
 async def log_hangups() -> None:
     """Log each SIGHUP, which does not reload the settings."""
     with anyio.open_signal_receiver(signal.SIGHUP) as signals:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -77,6 +77,29 @@
     assert run_on_mock_clock(run) >= 0.8
 
 
+def test_further_signals_cut_off_no_request(fleet):
+    """Finish open requests though SIGTERM and SIGHUP come again and again.
+
+    The handler of SIGTERM was removed by the first one, so that the second
+    ended the process with all its requests.
+    """
+    entry = fleet.callers_address('yard-1')
+    answers = []
+    open_call = threading.Thread(
+        target=lambda: answers.append(
+            call(entry, '/stock', headers={'x-work-ms': '1500'}).status
+        )
+    )
+    open_call.start()
+    wait_until(lambda: fleet.status('stock-1')['in_flight'], 'open call')
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM) * 3:
+        fleet.signal('yard-1', number)
+        threading.Event().wait(0.1)
+    open_call.join()
+    assert answers == [200]
+    assert fleet.processes['yard-1'].wait(10) == 0
+
+
 @pytest.fixture
 def fleet():
     """Run one node for each of two services."""
