Ignore SIGHUP from the start of the program on

Cause: SIGHUP has its default action until the event loop sets a handler, after the imports.

Change: the platform program ignores it before its imports, limpetshore node before it reads its settings. Only the start of the interpreter is left.

Tests: test_platform.py hangup_during_the_start; it ended with -1 before.

--- a/limpetshore/cli.py
+++ b/limpetshore/cli.py
@@ -1,6 +1,7 @@
 """Provide the command line for operators and process supervisors."""
 
 import contextlib
+import signal
 from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 from typing import Annotated, Any
@@ -129,6 +130,7 @@
 @app.command('node')
 def run_node(path: Path) -> None:
     """Run a node with a settings file until SIGTERM or SIGINT."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     with explain_errors():
         settings = load_settings(path)
         log.set_up(settings.log.level, settings.node.name)
--- a/limpetshore/platform/__main__.py
+++ b/limpetshore/platform/__main__.py
@@ -4,13 +4,17 @@
 """
 
 import os
+import signal
 import sys
 from pathlib import Path
 
-from limpetshore import log, node
-from limpetshore.errors import SettingsError
-from limpetshore.platform.integration import PlatformIntegration
-from limpetshore.settings import load_settings
+# Before the imports that take long: by default SIGHUP ends the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from limpetshore import log, node  # noqa: E402
+from limpetshore.errors import SettingsError  # noqa: E402
+from limpetshore.platform.integration import PlatformIntegration  # noqa: E402
+from limpetshore.settings import load_settings  # noqa: E402
 
 SETTINGS_PATH_VARIABLE = 'LIMPETSHORE_BOOT'
 EXIT_BAD_SETTINGS = 2
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,8 @@
 """Test the platform integration without a network."""
 
+import os
 import re
+import signal
 import subprocess
 import sys
 from pathlib import Path
@@ -254,6 +256,27 @@
     assert b'/nowhere/settings' in done.stderr
 
 
+def test_hangup_during_the_start_is_ignored(tmp_path):
+    """Survive a SIGHUP that comes before the settings have been read.
+
+    It ended the process until the handler was set, 0.3 s after the start.
+    """
+    path = tmp_path / 'settings'
+    os.mkfifo(path)
+    process = subprocess.Popen(
+        [sys.executable, '-m', 'limpetshore.platform'],
+        cwd=ROOT,
+        env={'LIMPETSHORE_BOOT': str(path)},
+        stderr=subprocess.PIPE,
+    )
+    with path.open('w') as settings:  # once the process reads them
+        process.send_signal(signal.SIGHUP)
+        settings.write('not = "settings"')
+    _, errors = process.communicate(timeout=20)
+    assert process.returncode == 2
+    assert b'node.name' in errors
+
+
 @pytest.mark.parametrize(
     ('given_ms', 'timeout_s'),
     [
