Answer pipelined requests before a node that stops closes

Cause: from the signal on each answer closed its connection, also while requests behind it were at work at servers.

Change: of the requests open on a connection only the last closes it. A request that arrives behind an open one while the server stops is not taken; its caller sends it again, as it counts as not read.

Ruled out: going on to take requests behind open ones. A caller that pipelines without a pause would keep its connection open to the end of the grace time.

--- a/limpetshore/transport/call_server.py
+++ b/limpetshore/transport/call_server.py
@@ -233,6 +233,7 @@
         self.is_paused = False
         self.is_disconnected = False
         self.is_malformed = False
+        self.is_discarding = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit how long sent bytes may stay unacknowledged."""
@@ -258,7 +259,7 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse requests; refuse bytes that are not HTTP, and close."""
-        if self.is_malformed:
+        if self.is_malformed or self.is_discarding:
             return
         if self.is_in_headers:
             self.header_bytes += len(received)
@@ -299,7 +300,16 @@
         self.receiving.headers.append((name.lower(), value.rstrip(b' \t')))
 
     def on_headers_complete(self) -> None:
-        """Start the task that answers the request."""
+        """Start the task that answers the request.
+
+        While the server stops, a request behind an open one is not taken: its
+        caller sends it again when the connection has closed.
+        """
+        if self.server.is_stopping and self.open_requests:
+            self.is_discarding = True
+        if self.is_discarding:
+            self.receiving.is_body_discarded = True
+            return
         self.is_in_headers = False
         self.header_bytes = 0
         request = self.receiving
@@ -357,12 +367,17 @@
         self.resume_reading()
         if not self.open_requests:
             self.idle_since = clock.now()
-            if self.is_malformed:
+            if self.is_malformed or self.is_discarding:
                 self.close()
 
     def may_stay_open(self, request: ServerRequest) -> bool:
-        """Tell whether the connection stays open after a request."""
-        return request.is_kept_alive and not self.server.is_stopping
+        """Tell whether the connection stays open after a request.
+
+        Requests taken behind it are answered before the server stops.
+        """
+        is_last = request is self.open_requests[-1]
+        is_closing = self.server.is_stopping and is_last
+        return request.is_kept_alive and not is_closing
 
     @property
     def is_idle(self) -> bool:
--- a/tests/test_call_server.py
+++ b/tests/test_call_server.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import anyio
+import pytest
 
 from limpetshore.transport.call_server import CallApp, CallServer
 from limpetshore.transport.http_client import Address
@@ -10,6 +11,8 @@
 
 ADDRESS = Address(LOOPBACK_HOST, 7411)
 SLOW_PATH = '/slow'
+# Its answer begins before `release` and ends after it.
+BEGUN_PATH = '/begun'
 
 
 class EchoApp(CallApp):
@@ -27,6 +30,12 @@
         try:
             if request.path == SLOW_PATH:
                 await self.release.wait()
+            if request.path == BEGUN_PATH:
+                request.start_answer(200, [])
+                request.flush_head()
+                await self.release.wait()
+                request.send_body(b'end', is_last=True)
+                return
             if request.method == b'DELETE':
                 await request.wait_turn()
                 self.started.append('turn')
@@ -131,6 +140,45 @@
     assert b'connection: close' in run(work)
 
 
+def test_pipelined_requests_are_answered_when_stopping():
+    """Answer all requests that were taken, and close after the last one.
+
+    The first answer closed the connection; the requests behind it were at work
+    at servers and had no answer.
+    """
+
+    async def work(app, server, reader, writer):
+        writer.write(build_request(SLOW_PATH) * 3)
+        await wait_until(lambda: len(app.started) == 3)
+        server.disable_keep_alive()
+        app.release.set()
+        return await reader.read()
+
+    received = run(work)
+    assert received.count(b'HTTP/1.1 200') == 3
+    assert received.count(b'connection: close') == 1
+    assert received.rindex(b'HTTP/1.1 200') < received.index(b'connection:')
+
+
+@pytest.mark.parametrize('has_begun', [True, False])
+def test_request_behind_an_open_one_is_not_taken_when_stopping(has_begun):
+    """Run no request that would be cut off; close, so that it is sent again."""
+
+    async def work(app, server, reader, writer):
+        path = BEGUN_PATH if has_begun else SLOW_PATH
+        writer.write(build_request(path))
+        await wait_until(lambda: app.started)
+        server.disable_keep_alive()
+        writer.write(build_request('/behind') * 2)
+        await asyncio.sleep(0.05)
+        app.release.set()
+        received = await reader.read()
+        assert app.started == [path]
+        return received
+
+    assert run(work).count(b'HTTP/1.1 200') == 1
+
+
 def test_malformed_request_is_refused():
     """Answer 400 and close, after the answers to earlier requests."""
 
