Read on while a connection closes, so that it is not reset

Seen: a caller that sends on while the node closes its connection (it pipelines, or crosses the close) loses the end of an answer: 'Connection reset by peer'. It is a way to an answered status without a whole answer.

Cause: close() stopped the reading. A socket closed with unread bytes is reset, and the kernel drops what it has not sent.

Change: the connection is closed in one direction first; what comes is discarded, and the socket closes once all is sent and nothing has come for 0.2 s.

--- a/limpetshore/transport/call_server.py
+++ b/limpetshore/transport/call_server.py
@@ -29,6 +29,7 @@
 KEEP_ALIVE_TIMEOUT_S = 75.0
 SWEEP_INTERVAL_S = 5.0
 STOP_POLL_INTERVAL_S = 0.05
+LINGER_S = 0.2
 LISTEN_BACKLOG = 2048
 MAX_BUFFERED_BYTES = 65536
 MAX_PIPELINED_REQUESTS = 8
@@ -228,12 +229,14 @@
         self.receiving = ServerRequest(self)
         self.write_waiter: asyncio.Future[None] | None = None
         self.idle_since = clock.now()
+        self.received_at = clock.now()
         self.header_bytes = 0
         self.is_in_headers = True
         self.is_paused = False
         self.is_disconnected = False
         self.is_malformed = False
         self.is_discarding = False
+        self.is_lingering = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit how long sent bytes may stay unacknowledged."""
@@ -259,6 +262,7 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse requests; refuse bytes that are not HTTP, and close."""
+        self.received_at = clock.now()
         if self.is_malformed or self.is_discarding:
             return
         if self.is_in_headers:
@@ -407,7 +411,8 @@
 
     def write(self, chunk: bytes) -> None:
         """Write bytes, unless the connection is closed or closing."""
-        if not self.is_disconnected and not self.transport.is_closing():
+        is_closing = self.is_lingering or self.transport.is_closing()
+        if not self.is_disconnected and not is_closing:
             self.transport.write(chunk)
 
     async def drain(self) -> None:
@@ -416,9 +421,29 @@
             await self.write_waiter
 
     def close(self) -> None:
-        """Close after all written bytes are sent."""
-        if self.transport is not None:
+        """Close after all written bytes are sent; discard what still comes.
+
+        A connection that is closed with unread bytes is reset, and its caller
+        may lose the end of an answer.
+        """
+        if self.is_lingering or self.is_disconnected:
+            return
+        self.is_lingering = True
+        self.is_discarding = True
+        self.resume_reading()
+        self.transport.write_eof()
+        self.loop.call_later(LINGER_S, self.end_linger)
+
+    def end_linger(self) -> None:
+        """Close the socket once all is sent and nothing comes any more."""
+        if self.is_disconnected:
+            return
+        is_sent = not self.transport.get_write_buffer_size()
+        is_quiet = clock.now() >= self.received_at + LINGER_S
+        if is_sent and is_quiet:
             self.transport.close()
+        else:
+            self.loop.call_later(LINGER_S, self.end_linger)
 
     def abort(self) -> None:
         """Close at once, so that an incomplete answer is seen as truncated."""
--- a/tests/test_call_server.py
+++ b/tests/test_call_server.py
@@ -11,6 +11,8 @@
 
 ADDRESS = Address(LOOPBACK_HOST, 7411)
 SLOW_PATH = '/slow'
+BIG_PATH = '/big'
+BIG_BYTES = 4_000_000
 # Its answer begins before `release` and ends after it.
 BEGUN_PATH = '/begun'
 
@@ -43,6 +45,8 @@
             self.cancelled.set()
             raise
         body = request.path.encode()
+        if request.path == BIG_PATH:
+            body = b'.' * BIG_BYTES
         headers = [(b'content-length', b'%d' % len(body))]
         request.send_complete(200, headers, body)
 
@@ -179,6 +183,28 @@
     assert run(work).count(b'HTTP/1.1 200') == 1
 
 
+def test_answer_is_delivered_whole_when_more_requests_come():
+    """Do not reset a connection whose caller sends on while it is closed.
+
+    Unread bytes reset the connection when it is closed, and the end of an
+    answer that its caller has not read yet is lost.
+    """
+
+    async def work(app, server, reader, writer):
+        writer.write(build_request(BIG_PATH))
+        await wait_until(lambda: app.started)
+        server.stop()
+        await asyncio.sleep(0.1)
+        writer.write(build_request('/behind') * 200)
+        await asyncio.sleep(0.1)
+        received = b''
+        while chunk := await reader.read(65536):
+            received += chunk
+        return received
+
+    assert len(run(work).partition(b'\r\n\r\n')[2]) == BIG_BYTES
+
+
 def test_malformed_request_is_refused():
     """Answer 400 and close, after the answers to earlier requests."""
 
