Leave out odd entries of other writers, one by one

Seen: a report of other operators (LOST, processes that end by themselves): an entry nested deeply, with a number too large or a port out of range ended the machines that read the list, or stopped their following.

Cause, tried here before the mend: msgspec raises RecursionError for deep nesting (roster, configuration, list, heartbeat), which is no decoding error; a port of 70010 and an incarnation of 10^30 were taken, and raised OverflowError when used; one entry without a revision made a list undecodable; an object of the kind of configurations under another name was taken for the configuration, if newer.

Change: decode_json is the one place where JSON of others is decoded; what is nested too deeply counts as null and hides nothing beside it. Numbers and addresses have ranges. Lists and events are decoded entry by entry. Only config/main is the configuration.

--- a/limpetshore/coordination/fleet.py
+++ b/limpetshore/coordination/fleet.py
@@ -29,6 +29,12 @@
 ROSTER_KIND = 'roster'
 CURRENT_NAME = 'current'
 MAX_CHANGES_PER_EXCHANGE = 8
+INVALID_DOCUMENT_ERRORS = (
+    ValueError,
+    TypeError,
+    LookupError,
+    OverflowError,
+)
 SENDS_PER_CHANGE = 4  # number of exchanges that carry each change
 
 
@@ -75,7 +81,7 @@
             return False
         try:
             self.apply_document(name, document, source)
-        except (ValueError, TypeError, LookupError) as error:
+        except INVALID_DOCUMENT_ERRORS as error:
             self.metrics.bad_input.labels(name).inc()
             logger.error(
                 'rejected invalid version {0} of {1}, keeping version {2}: {3}',
--- a/limpetshore/platform/store.py
+++ b/limpetshore/platform/store.py
@@ -112,7 +112,7 @@
 
     async def list_objects(self, kind: str) -> Changes:
         """Return all objects of a kind, reading page by page."""
-        entries: list[wire.ObjectEntry] = []
+        stored: list[StoredObject] = []
         after = ''
         while True:
             response = await self.client.call(
@@ -124,12 +124,12 @@
                 return Changes(0, [])
             self.client.raise_for_status(response, 'list')
             page = decode_answer(wire.ObjectList, response.content)
-            entries += page.items
-            if not page.has_more or not page.items:
+            entries = decode_valid(wire.ObjectEntry, page.items)
+            stored += build_stored_objects(kind, entries)
+            if not page.has_more or not entries:
                 break
-            last = quote(page.items[-1].metadata.name)
+            last = quote(entries[-1].metadata.name)
             after = f'?after={last}'
-        stored = [build_stored_object(kind, entry) for entry in entries]
         return Changes(page.store_revision, stored)
 
     async def watch(self, since: int, wait_s: float) -> Changes:
@@ -154,11 +154,9 @@
             )
         self.client.raise_for_status(response, 'watch')
         answer = decode_answer(wire.ObjectEvents, response.content)
-        changed = [
-            build_stored_object(POLICY_KIND, event.object)
-            for event in answer.events
-            if not event.removed
-        ]
+        events = decode_valid(wire.ObjectEvent, answer.events)
+        entries = [event.object for event in events if not event.removed]
+        changed = build_stored_objects(POLICY_KIND, entries)
         return Changes(answer.store_revision if changed else since, changed)
 
 
@@ -186,6 +184,31 @@
         raise StoreError(f'cannot decode the store answer: {error}') from error
 
 
+def decode_valid(
+    message_class: type, encoded: list[msgspec.Raw]
+) -> list[msgspec.Struct]:
+    """Return the decoded entries; leave out what another writer has left."""
+    decoded = []
+    for entry in encoded:
+        try:
+            decoded.append(wire.decode(message_class, entry))
+        except msgspec.MsgspecError as error:
+            logger.error('ignored an entry of the store: {0}', error)
+    return decoded
+
+
+def build_stored_objects(
+    kind: str, entries: list[wire.ObjectEntry]
+) -> list[StoredObject]:
+    """Return the objects of a kind; there is only one configuration."""
+    is_configuration = kind == POLICY_KIND
+    return [
+        build_stored_object(kind, entry)
+        for entry in entries
+        if not is_configuration or entry.metadata.name == wire.CONFIG_NAME
+    ]
+
+
 def build_stored_object(kind: str, entry: wire.ObjectEntry) -> StoredObject:
     """Return an object with its content in the format of this package."""
     content = bytes(entry.spec)
@@ -204,6 +227,6 @@
     try:
         configuration = wire.decode(wire.Configuration, content)
         return encode_policy(build_policy(configuration))
-    except (msgspec.MsgspecError, LookupError, ValueError) as error:
+    except (LookupError, ValueError, OverflowError) as error:
         logger.error('ignored an invalid configuration: {0}', error)
         return None
--- a/limpetshore/platform/wire.py
+++ b/limpetshore/platform/wire.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from limpetshore.decoding import Count, decode_json
+
 REQUEST_ID = b'limpetshore-request-id'
 DEADLINE_MS = b'limpetshore-deadline-ms'
 SEAL = b'limpetshore-response-seal'
@@ -36,11 +38,10 @@
 
     service: str
     address: str
-    slots: int
+    slots: Count
     state: str
-    sequence: int
-    born: int = 0
-    cold_ms: int = 0
+    sequence: Count
+    born: Count = 0
 
 
 class SplitEntry(msgspec.Struct):
@@ -104,9 +105,12 @@
 
 
 class ObjectList(msgspec.Struct):
-    """Represent a page of objects and the revision of the store."""
+    """Represent a page of objects and the revision of the store.
+
+    Each of `items` is an `ObjectEntry`, unless another writer has left it.
+    """
 
-    items: list[ObjectEntry]
+    items: list[msgspec.Raw]
     store_revision: int
     has_more: bool = False
 
@@ -119,12 +123,15 @@
 
 
 class ObjectEvents(msgspec.Struct):
-    """Represent the changes since a revision."""
+    """Represent the changes since a revision.
+
+    Each of `events` is an `ObjectEvent`, unless another writer caused it.
+    """
 
-    events: list[ObjectEvent]
+    events: list[msgspec.Raw]
     store_revision: int
 
 
 def decode(message_class: type, encoded: bytes) -> Any:
     """Return a decoded message; raise `msgspec.MsgspecError` if invalid."""
-    return msgspec.json.decode(encoded, type=message_class)
+    return decode_json(encoded, message_class)
--- a/limpetshore/protocol/control.py
+++ b/limpetshore/protocol/control.py
@@ -37,6 +37,12 @@
 BAD_REQUEST = 400
 NOT_FOUND = 404
 CONTENT_TOO_LARGE = 413
+FAILED_CALL_ERRORS = (
+    TransportError,
+    TimeoutError,
+    ValueError,
+    RecursionError,
+)
 
 
 class ControlHandler(ABC):
@@ -100,7 +106,7 @@
         self.received.inc(len(encoded))
         try:
             message = method.decoder.decode(encoded)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             logger.info('refused a malformed control message: {0}', error)
             self.metrics.bad_input.labels('peer_message').inc()
             send_reply(request, BAD_REQUEST)
@@ -157,7 +163,7 @@
             with anyio.fail_after(timeout_s):
                 reply = await self.send(address, method, encoded)
             decoded = msgspec.msgpack.decode(reply, type=reply_class)
-        except (TransportError, TimeoutError, ValueError) as error:
+        except FAILED_CALL_ERRORS as error:
             self.metrics.control_calls.labels(method, 'failed').inc()
             self.forget(address)
             raise PeerError(f'{address}: {error!r}') from error
--- a/limpetshore/protocol/messages.py
+++ b/limpetshore/protocol/messages.py
@@ -5,15 +5,18 @@
 """
 
 import functools
-from typing import Any, NamedTuple, TypeVar
+from typing import Annotated, Any, NamedTuple, TypeVar
 
 import msgspec
 
+from limpetshore.decoding import Count
 from limpetshore.importance import Importance
 from limpetshore.transport.responses import Headers
 
 Message = TypeVar('Message')
 
+StatusNumber = Annotated[int, msgspec.Meta(ge=0, le=4)]  # see state.members
+
 CALL_HEADER = b'x-limpetshore-call'
 ANSWER_HEADER = b'x-limpetshore-answer'
 TOKEN_HEADER = b'x-limpetshore-token'
@@ -94,15 +97,15 @@
     """
 
     name: str
-    incarnation: int
-    revision: int
-    status: int
+    incarnation: Count
+    revision: Count
+    status: StatusNumber
     service: str
     zone: str
     region: str
     peers: str
     control: str
-    slots: int
+    slots: Count
     instance: str = ''
 
 
--- a/limpetshore/settings.py
+++ b/limpetshore/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from limpetshore.checks import Name, Seconds, build_record
+from limpetshore.checks import Name, Seconds, build_record, check_value
 from limpetshore.errors import SettingsError
 from limpetshore.transport.http_client import Address
 
@@ -299,6 +299,19 @@
     return Address(host, int(port))
 
 
+def is_address(text: str) -> bool:
+    """Tell whether a text is an IPv4 address and a port, both in range.
+
+    >>> [is_address(text) for text in ('10.0.0.1:80', '10.0.0.1:65536', '')]
+    [True, False, False]
+    """
+    mistakes: list[str] = []
+    check_value(text, AddressText, '', mistakes)
+    if not mistakes:
+        check_address('', text, mistakes)
+    return not mistakes
+
+
 def check_address(name: str, text: str, mistakes: list[str]) -> None:
     """Append a mistake if the host or port of an address is out of range."""
     address = parse_address(text)
--- a/limpetshore/state/backends.py
+++ b/limpetshore/state/backends.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from limpetshore.decoding import decode_json
 from limpetshore import clock
 from limpetshore.checks import build_record
 
@@ -97,7 +98,7 @@
     """Return the announcement in a request body, and the mistakes in it."""
     mistakes: list[str] = []
     try:
-        table = msgspec.json.decode(body)
+        table = decode_json(body)
     except msgspec.DecodeError as error:
         return None, [f'not JSON: {error}']
     record = build_record(Announcement, table, 'announcement', mistakes)
--- a/limpetshore/state/ledger.py
+++ b/limpetshore/state/ledger.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from limpetshore.decoding import decode_json
 from limpetshore import clock
 from limpetshore.state.members import MemberTable, Status, rank_by_rendezvous
 
@@ -48,7 +49,7 @@
 
 def decode_ledger(encoded: bytes) -> Ledger:
     """Decode a stored ledger; raise ValueError if it is invalid."""
-    ledger = msgspec.json.decode(encoded, type=Ledger)
+    ledger = decode_json(encoded, Ledger)
     if ledger.format != FORMAT_VERSION or len(ledger.holders) != SHARD_COUNT:
         raise ValueError(f'ledger does not match format {FORMAT_VERSION}')
     return ledger
--- a/limpetshore/state/policies.py
+++ b/limpetshore/state/policies.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from limpetshore.decoding import decode_json
 from limpetshore.checks import Name, Seconds, build_record, check_value
 from limpetshore.importance import Importance, parse_importance
 
@@ -294,7 +295,7 @@
 
 def decode_policy(encoded: bytes) -> Policy:
     """Decode a stored policy; raise ValueError if it is invalid."""
-    tables = msgspec.json.decode(encoded)
+    tables = decode_json(encoded)
     if not isinstance(tables, dict) or tables.get('format') != FORMAT_VERSION:
         raise ValueError(f'policy does not match format {FORMAT_VERSION}')
     mistakes: list[str] = []
--- a/limpetshore/state/roster.py
+++ b/limpetshore/state/roster.py
@@ -5,7 +5,9 @@
 
 import msgspec
 
+from limpetshore.decoding import decode_json
 from limpetshore.protocol.messages import NodeState
+from limpetshore.settings import is_address
 
 MAX_MEMBERS = 10_000
 
@@ -41,11 +43,13 @@
     >>> decode_roster(b'[1]')
     Roster(members=[], invalid_count=1)
     """
-    entries = msgspec.json.decode(encoded, type=list[msgspec.Raw])
+    entries = decode_json(encoded, list[msgspec.Raw])
     members = []
     for entry in entries[:MAX_MEMBERS]:
         with contextlib.suppress(msgspec.MsgspecError):
-            members.append(msgspec.json.decode(entry, type=NodeState))
+            state = decode_json(entry, NodeState)
+            if is_address(state.peers) and is_address(state.control):
+                members.append(state)
     return Roster(members, len(entries) - len(members))
 
 
--- a/limpetshore/state/store.py
+++ b/limpetshore/state/store.py
@@ -5,8 +5,8 @@
 from typing import NamedTuple
 
 import anyio
-import msgspec
 
+from limpetshore.decoding import decode_json
 from limpetshore.errors import (
     ConnectError,
     StoreConflictError,
@@ -250,7 +250,7 @@
 def read_changes(response: StoreResponse) -> Changes:
     """Decode a list of objects; raise StoreError if it is malformed."""
     try:
-        listing = msgspec.json.decode(response.content)
+        listing = decode_json(response.content)
         changed = [
             StoredObject(
                 entry['kind'],
--- a/limpetshore/transport/http_client.py
+++ b/limpetshore/transport/http_client.py
@@ -338,7 +338,7 @@
                 address.host,
                 address.port,
             )
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, OverflowError) as error:
         raise ConnectError(f'cannot connect to {address}: {error}') from error
     return connection
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -19,6 +19,7 @@
 COMMON_MODULES = (
     'checks',
     'clock',
+    'decoding',
     'errors',
     'importance',
     'randomness',
