Bound what comes after the last piece of a body

Seen: a report of other operators (LOST): a faulty server sent bytes without end until the caller closed, and the caller kept them all. Tried here: heads and bodies are bounded, but each line after the last piece of a body in chunks was kept as a header, and chunk extensions went on without a bound. A server that sends on an idle connection was read without an end, though nothing was kept.

Change: headers after a body are dropped. An idle connection is closed when bytes come.

Tests: test_stray_answers.py after_a_body, no_headers, idle_connection; test_call_server.py trailer.

--- a/limpetshore/routing/peer_calls.py
+++ b/limpetshore/routing/peer_calls.py
@@ -47,6 +47,7 @@
 PROBE_TIMEOUT_S = 1
 MAX_LOST_PROBES = 2
 ANSWER_GRACE_S = 0.25
+MAX_REFUSAL_BYTES = 65536
 
 
 class PeerExchange(Exchange):
@@ -222,8 +223,8 @@
         """Read a refusal to its end, so that the connection can be reused."""
         with anyio.move_on_after(ANSWER_GRACE_S):
             try:
-                await self.connection.read_all()
-            except (TruncatedError, TimeoutError):
+                await self.connection.read_all(MAX_REFUSAL_BYTES)
+            except (TransportError, TimeoutError):
                 return
 
     @property
--- a/limpetshore/transport/call_server.py
+++ b/limpetshore/transport/call_server.py
@@ -265,8 +265,7 @@
         self.received_at = clock.now()
         if self.is_malformed or self.is_discarding:
             return
-        if self.is_in_headers:
-            self.header_bytes += len(received)
+        self.header_bytes += len(received)
         try:
             self.parser.feed_data(received)
         except httptools.HttpParserUpgrade:
@@ -275,7 +274,7 @@
             logger.info('received bytes are not HTTP, closing: {0}', error)
             self.refuse_malformed(http.HTTPStatus.BAD_REQUEST)
             return
-        if self.is_in_headers and self.header_bytes > MAX_HEADER_BYTES:
+        if self.header_bytes > MAX_HEADER_BYTES:
             self.refuse_malformed(
                 http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             )
@@ -300,7 +299,9 @@
         self.receiving.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header, its name in lower case."""
+        """Add a header, its name in lower case; drop those after a body."""
+        if not self.is_in_headers:
+            return
         self.receiving.headers.append((name.lower(), value.rstrip(b' \t')))
 
     def on_headers_complete(self) -> None:
@@ -330,10 +331,12 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a chunk to the body of the request."""
+        self.header_bytes = 0
         self.receiving.add_body(body)
 
     def on_message_complete(self) -> None:
         """Mark the body of the request complete."""
+        self.header_bytes = 0
         self.receiving.is_body_complete = True
         self.is_in_headers = True
         wake_waiter(self.receiving.body_waiter)
--- a/limpetshore/transport/http_client.py
+++ b/limpetshore/transport/http_client.py
@@ -82,9 +82,13 @@
         )
 
     def data_received(self, received: bytes) -> None:
-        """Parse received bytes; pause reading while too many are buffered."""
+        """Parse received bytes; pause reading while too many are buffered.
+
+        A server that sends bytes without a request is cut off.
+        """
         if self.is_reusable:
             self.has_unsolicited_bytes = True  # no request is open
+            self.transport.abort()
             return
         if self.pool is not None:
             self.pool.last_received_at = clock.now()
--- a/limpetshore/transport/responses.py
+++ b/limpetshore/transport/responses.py
@@ -9,6 +9,7 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+# Of a head, and of all between two pieces of a body or after the last one.
 MAX_HEAD_BYTES = 65536
 MAX_QUEUED_RESPONSES = 4
 MAX_INFORMATIONAL_STATUS = 199
@@ -54,21 +55,18 @@
         self.current = Response()
         self.receiving = self.current
         self.buffered_bytes = 0
-        self.head_bytes = 0
+        self.overhead_bytes = 0
 
     def feed(self, received: bytes) -> None:
         """Parse received bytes.
 
-        Raise HttpParserError if they are not HTTP, and TooLongError if a head
-        or a train of answers has no end.
+        Raise HttpParserError if they are not HTTP, and TooLongError if a head,
+        a trailer, the framing of a body or a train of answers has no end.
         """
+        self.overhead_bytes += len(received)
         self.parser.feed_data(received)
-        if self.receiving.head is None:
-            self.head_bytes += len(received)
-        else:
-            self.head_bytes = 0
-        if self.head_bytes > MAX_HEAD_BYTES:
-            raise TooLongError('the head of an answer is too long')
+        if self.overhead_bytes > MAX_HEAD_BYTES:
+            raise TooLongError('the head or trailer of an answer is too long')
         if len(self.queued) > MAX_QUEUED_RESPONSES:
             raise TooLongError('too many answers to one request')
 
@@ -94,8 +92,9 @@
             self.add_response()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header, its name in lower case."""
-        self.receiving.headers.append((name.lower(), value))
+        """Add a header, its name in lower case; drop those after a body."""
+        if self.receiving.head is None:
+            self.receiving.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Set the head, unless the status is informational (1xx)."""
@@ -104,10 +103,12 @@
         if status > MAX_INFORMATIONAL_STATUS:
             response.head = ResponseHead(status, response.headers)
             response.is_complete = self.is_bodyless
+            self.overhead_bytes = 0
         response.headers = []
 
     def on_body(self, body: bytes) -> None:
         """Add a chunk of the body."""
+        self.overhead_bytes = 0
         self.receiving.body.append(body)
         self.buffered_bytes += len(body)
 
@@ -116,6 +117,8 @@
         response = self.receiving
         response.is_complete = response.head is not None
         response.is_kept_alive = self.parser.should_keep_alive()
+        if response.is_complete:
+            self.overhead_bytes = 0
 
     def finish(self) -> None:
         """Complete an answer whose end is the end of its connection."""
--- a/tests/test_call_server.py
+++ b/tests/test_call_server.py
@@ -205,6 +205,24 @@
     assert len(run(work).partition(b'\r\n\r\n')[2]) == BIG_BYTES
 
 
+@pytest.mark.parametrize('start', [b'0\r\nx: ', b'1;'])
+def test_trailer_without_end_is_not_kept(start):
+    """Close the connection of a caller that sends no body, without an end."""
+
+    async def work(app, server, reader, writer):
+        head = b'POST /slow HTTP/1.1\r\nHost: x\r\n'
+        writer.write(head + b'transfer-encoding: chunked\r\n\r\n' + start)
+        await wait_until(lambda: app.started)
+        connection = next(iter(server.connections))
+        while not connection.is_malformed:
+            writer.write(b'a' * 1000)
+            await asyncio.sleep(0)
+        app.release.set()
+        return await reader.read()
+
+    assert run(work).count(b'HTTP/1.1') == 1
+
+
 def test_malformed_request_is_refused():
     """Answer 400 and close, after the answers to earlier requests."""
 
--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -5,11 +5,12 @@
 import pytest
 
 from limpetshore import clock
-from limpetshore.errors import TruncatedError
+from limpetshore.errors import TooLongError, TruncatedError
 from limpetshore.platform import wire
 from limpetshore.platform.health import query_instance
 from limpetshore.routing.guard import GuardExchange
 from limpetshore.transport.http_client import MAX_BUFFERED_BYTES, Address
+from limpetshore.transport.responses import ResponseReader
 from limpetshore.verdicts import Verdict
 from tests.faulty_server import (
     HOST,
@@ -114,6 +115,64 @@
     assert outcome == (Verdict.MAY_HAVE_RUN, True)
 
 
+ENDLESS_FRAMES = {
+    'trailer-line': (b'0\r\nx: ', build_endless_line),
+    'trailers': (b'0\r\n', build_endless_head),
+    'chunk-extension': (b'1;', build_endless_line),
+}
+
+
+@pytest.mark.parametrize('frame', ENDLESS_FRAMES.values(), ids=ENDLESS_FRAMES)
+def test_bytes_after_a_body_are_not_kept(frame):
+    """Keep no trailer, and give up a body soon in which no body comes.
+
+    A server sent lines after the last piece of a body without end; they were
+    kept as headers until the memory of the process ran out.
+    """
+    head = (
+        b'HTTP/1.1 200 OK\r\n'
+        + wire.REQUEST_ID
+        + b': one\r\n'
+        + wire.SEAL
+        + b': s\r\ntransfer-encoding: chunked\r\n\r\n'
+    )
+
+    async def work(guard):
+        started_at = clock.now()
+        outcome = await send(guard, 'one', timeout_s=20)
+        return outcome, clock.now() - started_at < 10
+
+    script = [[head + frame[0], frame[1]]]
+    assert run_against_server(script, work) == (TruncatedError, True)
+
+
+def test_trailers_are_no_headers():
+    """Count bytes after a body, and drop the trailers among them."""
+    reader = ResponseReader()
+    reader.feed(b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n')
+    reader.feed(b'3\r\nabc\r\n0\r\n')
+    for _ in range(60):
+        reader.feed(build_endless_head())
+    assert reader.current.headers == []
+    with pytest.raises(TooLongError):
+        for _ in range(10):
+            reader.feed(build_endless_head())
+
+
+def test_idle_connection_is_closed_when_bytes_come():
+    """Read no bytes without end on a connection that no request uses."""
+
+    async def work(guard):
+        await send(guard, 'one')
+        idle = guard.pool.idle[0]
+        while not idle.is_disconnected:
+            await asyncio.sleep(0.01)
+        return idle.reader.buffered_bytes
+
+    script = [[build_answer(RUN, b'one'), lambda: b'b' * 1000]]
+    assert run_against_server(script, work) == 0
+
+
 def test_stray_answer_without_end_is_given_up():
     """Discard no more than some kilobytes of an answer to another request."""
     head = b'HTTP/1.1 200 OK\r\n' + wire.REQUEST_ID + b': zero\r\n\r\n'
