Refuse what waited for a server that was replaced

Cause: after a 421 the guard forgets the announcement, and the header is built from it when a request is sent; requests that had been accepted before and waited for a slot or a connection went out without a name.

Change: right before a request is sent, the server must be the one for which it was accepted; else it is refused as 'not run' (not_owner), and dispatched elsewhere.

Tests: test_stray_answers.py waiting_request; one of three requests ran before.

--- a/limpetshore/routing/guard.py
+++ b/limpetshore/routing/guard.py
@@ -199,11 +199,13 @@
         """Perform the steps of a call up to the head of its answer."""
         guard = self.guard
         self.check_accepted(request.meta)
+        instance = guard.backend.instance
         self.claim_request_id(request.meta)
         guard.open_calls.add(request.meta.call_id)
         try:
             await self.acquire_slot(request)
             connection = await self.connect()
+            self.check_instance(instance)
         except BaseException:
             self.release_request_id(request.meta)
             raise
@@ -219,6 +221,15 @@
         if not guard.accepts_work:
             raise refuse(Reason.DRAINING, 'the server takes no new work')
 
+    def check_instance(self, instance: str) -> None:
+        """Refuse a call if its server was replaced while it waited.
+
+        Another server may have the address, also of another service.
+        """
+        backend = self.guard.backend
+        if backend.announcement is None or backend.instance != instance:
+            raise refuse(Reason.NOT_OWNER, 'the server has been replaced')
+
     def claim_request_id(self, meta: CallMeta) -> None:
         """Claim the id of a non-repeatable request that did not run before."""
         if meta.is_repeatable or not meta.is_id_from_caller:
--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -9,6 +9,7 @@
 from limpetshore.platform import wire
 from limpetshore.platform.health import query_instance
 from limpetshore.routing.guard import GuardExchange
+from limpetshore.state.backends import Announcement
 from limpetshore.transport.http_client import MAX_BUFFERED_BYTES, Address
 from limpetshore.transport.responses import ResponseReader
 from limpetshore.verdicts import Verdict
@@ -70,6 +71,23 @@
     assert run_against_server(script, work) == [Verdict.NOT_RUN, RUN, RUN]
 
 
+def test_waiting_request_is_not_sent_to_another_server():
+    """Refuse what waits for a slot once another server answers.
+
+    After the first 421 the requests that waited were sent without the instance
+    that they expect, and a server of another service ran them.
+    """
+
+    async def work(guard):
+        guard.backend.update(Announcement('ready', 1, 'i-1.0', 'i-1'))
+        guard.apply_announcement(is_new=True)
+        return await asyncio.gather(*[send(guard, name) for name in 'abc'])
+
+    misdirected = b'HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n'
+    script = [[misdirected], [build_answer(RUN, b'b')]]
+    assert run_against_server(script, work) == [Verdict.NOT_RUN] * 3
+
+
 def test_connection_with_a_stray_answer_is_not_used_again():
     """Close a connection after an answer that no request waited for."""
 
