Move the request of a server to a module of its own

Change: ServerRequest and what writes its answer move to server_request.py, letter for letter but for the type of its connection, a protocol now; importers follow. The layers above need call_server only where they serve.

--- a/limpetshore/protocol/bodies.py
+++ b/limpetshore/protocol/bodies.py
@@ -9,8 +9,8 @@
 from limpetshore.protocol.dialects import RenderedRefusal
 from limpetshore.protocol.messages import get_header
 from limpetshore.settings import CallSection
-from limpetshore.transport.call_server import ServerRequest
 from limpetshore.transport.responses import Headers
+from limpetshore.transport.server_request import ServerRequest
 from limpetshore.verdicts import Reason
 
 
--- a/limpetshore/protocol/control.py
+++ b/limpetshore/protocol/control.py
@@ -24,8 +24,9 @@
     LendRequest,
     encode,
 )
-from limpetshore.transport.call_server import CallApp, ServerRequest
+from limpetshore.transport.call_server import CallApp
 from limpetshore.transport.http_client import Address, HttpConnection, HttpPool
+from limpetshore.transport.server_request import ServerRequest
 
 logger = Logger(__name__)
 
--- a/limpetshore/protocol/exchanges.py
+++ b/limpetshore/protocol/exchanges.py
@@ -23,9 +23,9 @@
     strip_hop_headers,
 )
 from limpetshore.settings import CallSection
-from limpetshore.transport.call_server import ServerRequest
 from limpetshore.transport.http_client import HttpConnection
 from limpetshore.transport.responses import Headers, ResponseHead
+from limpetshore.transport.server_request import ServerRequest
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
 # An answer that has begun may end so long after the deadline of its request.
--- a/limpetshore/routing/authentication.py
+++ b/limpetshore/routing/authentication.py
@@ -12,7 +12,7 @@
 from limpetshore.routing.guard import Guard
 from limpetshore.state.fencing import FencingState
 from limpetshore.state.policies import PolicyIndex, RouteMatch
-from limpetshore.transport.call_server import ServerRequest
+from limpetshore.transport.server_request import ServerRequest
 from limpetshore.verdicts import Reason
 
 ANONYMOUS = ''
--- a/limpetshore/routing/peer_app.py
+++ b/limpetshore/routing/peer_app.py
@@ -29,8 +29,9 @@
 from limpetshore.routing.guard import Guard, GuardExchange
 from limpetshore.routing.peer_calls import PROBE_PATH
 from limpetshore.routing.relaying import relay_answer
-from limpetshore.transport.call_server import CallApp, ServerRequest
+from limpetshore.transport.call_server import CallApp
 from limpetshore.transport.responses import Headers
+from limpetshore.transport.server_request import ServerRequest
 from limpetshore.verdicts import Reason, Refusal
 
 MS_PER_S = 1000
