Give the guard's exchange and the signals modules of their own

Cause: guard.py held the state shared by all calls and the forwarding of one call; node.py had gained the handling of signals.

Change: GuardExchange moves to guard_exchange.py and the signals to signals.py, with two named functions for the masks.

--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -2,7 +2,6 @@
 
 import gc
 import random
-import signal
 from typing import Any
 
 import anyio
@@ -38,6 +37,12 @@
     NodeSettings,
     parse_address,
 )
+from limpetshore.signals import (
+    STOP_SIGNALS,
+    deliver_signals,
+    hold_signals,
+    log_hangups,
+)
 from limpetshore.state.fencing import FencingState
 from limpetshore.state.members import MemberTable, Status
 from limpetshore.state.policies import PolicyIndex
@@ -51,8 +56,6 @@
 CONTROL_GRACE_S = 0.2
 LEAVE_POLL_S = 0.05
 GC_THRESHOLDS = (20_000, 50, 100)
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-HANDLED_SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
 
 
 class Node(PolicyListener):
@@ -234,7 +237,7 @@
         # Further signals must not end the process before its open requests.
         with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
             await self.start()
-            signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+            deliver_signals()
             logger.info(
                 'the node accepts calls',
                 extra={'callers': self.settings.listen.callers},
@@ -245,7 +248,7 @@
             await self.control_server.wait_stopped()
             self.gossip.client.close()
             # The receivers restore the default actions when they are closed.
-            signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+            hold_signals()
         self.tasks.cancel_scope.cancel()
 
     async def leave(self) -> None:
@@ -414,15 +417,6 @@
     gc.set_threshold(*GC_THRESHOLDS)
 
 
-async def log_hangups() -> None:
-    """Log each SIGHUP, which does not reload the settings."""
-    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for _ in signals:
-            logger.info(
-                'received SIGHUP; changed settings take effect after a restart'
-            )
-
-
 async def serve(settings: NodeSettings, integration: Integration) -> None:
     """Run a node until SIGTERM or SIGINT, with the boot-time clock."""
     clock.use_boot_time()
@@ -435,11 +429,9 @@
     """Run a node in a new event loop until SIGTERM or SIGINT.
 
     The native integration is used unless another one is given. Signals are
-    held back until the node has started. The threads that uvloop creates
-    meanwhile inherit that, so that the main thread gets all signals and can
-    hold them back again at the end, when their handlers are gone.
+    held back until the node, and with it the threads of uvloop, has started.
     """
-    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+    hold_signals()
     anyio.run(
         serve,
         settings,
--- a/limpetshore/routing/ingress_state.py
+++ b/limpetshore/routing/ingress_state.py
@@ -15,7 +15,8 @@
 from limpetshore.protocol.exchanges import Exchange
 from limpetshore.protocol.messages import AnswerMeta, NodeState
 from limpetshore.routing.authentication import CallerAuthenticator
-from limpetshore.routing.guard import Guard, GuardExchange
+from limpetshore.routing.guard import Guard
+from limpetshore.routing.guard_exchange import GuardExchange
 from limpetshore.routing.peer_calls import PeerExchange
 from limpetshore.settings import NodeSettings, parse_address
 from limpetshore.state.fencing import FencingState
--- a/limpetshore/routing/peer_app.py
+++ b/limpetshore/routing/peer_app.py
@@ -26,7 +26,8 @@
     get_header,
     json_encoder,
 )
-from limpetshore.routing.guard import Guard, GuardExchange
+from limpetshore.routing.guard import Guard
+from limpetshore.routing.guard_exchange import GuardExchange
 from limpetshore.routing.peer_calls import PROBE_PATH
 from limpetshore.routing.relaying import relay_answer
 from limpetshore.transport.call_server import CallApp
--- a/tests/faulty_server.py
+++ b/tests/faulty_server.py
@@ -12,7 +12,8 @@
 from limpetshore.platform.dialects import PlatformBackendDialect
 from limpetshore.protocol.exchanges import InboundRequest, OutboundRequest
 from limpetshore.protocol.messages import CallMeta
-from limpetshore.routing.guard import Guard, GuardExchange
+from limpetshore.routing.guard import Guard
+from limpetshore.routing.guard_exchange import GuardExchange
 from limpetshore.settings import check_settings
 from limpetshore.state.backends import Announcement
 from limpetshore.state.fencing import FencingState
--- a/tests/test_answer_deadlines.py
+++ b/tests/test_answer_deadlines.py
@@ -16,7 +16,7 @@
     AnswerMeta,
     json_encoder,
 )
-from limpetshore.routing.guard import GuardExchange
+from limpetshore.routing.guard_exchange import GuardExchange
 from limpetshore.routing.peer_calls import PeerExchange
 from limpetshore.transport.http_client import Address, HttpPool
 from limpetshore.verdicts import Reason
--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -8,7 +8,7 @@
 from limpetshore.errors import TooLongError, TruncatedError
 from limpetshore.platform import wire
 from limpetshore.platform.health import query_instance
-from limpetshore.routing.guard import GuardExchange
+from limpetshore.routing.guard_exchange import GuardExchange
 from limpetshore.state.backends import Announcement
 from limpetshore.transport.http_client import MAX_BUFFERED_BYTES, Address
 from limpetshore.transport.responses import ResponseReader
