Take the time until keys are refused from the platform's bound

Cause: the issue asks that waits follow from the bounds in the settings. Keys were refused after 4.5 s without contact, a constant in the template; with a bound on withdrawn keys below that the wait would exceed it.

Change: fleet.revoke_s, which the template takes from revokeMs; keys are refused after nine tenths of it, 4.5 s for the present bound of 5 s. Without it cut_off_s holds as before.

Tests: test_settings.py within_the_bounds.

--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -77,7 +77,7 @@
         self.fencing = FencingState(
             settings.node.name,
             fence_s=fleet.fence_s,
-            cut_off_s=fleet.cut_off_s,
+            cut_off_s=fleet.lapse_s,
             keys_need_store=fleet.keys_need_store,
         )
         self.guard = Guard(
--- a/limpetshore/settings.py
+++ b/limpetshore/settings.py
@@ -14,6 +14,8 @@
 
 MAX_PORT = 65535
 GRANTED_BUDGETS = 'granted'
+# What remains is for requests with a key that wait when a node is cut off.
+REVOKE_SHARE = 0.9
 
 AddressText = Annotated[
     str,
@@ -110,6 +112,7 @@
     fence_s: Seconds = 8
     takeover_s: Seconds = 30
     cut_off_s: Seconds = 4
+    revoke_s: Seconds | None = None
     grant_validity_s: Seconds = 0.6
     grant_horizon_s: Seconds = 0.3
     grant_wait_s: Seconds = 0.4
@@ -127,7 +130,14 @@
     @property
     def reading_bound_s(self) -> float:
         """Return the longest time in which the store must have been read."""
-        return min(self.apply_s, self.cut_off_s)
+        return min(self.apply_s, self.lapse_s)
+
+    @property
+    def lapse_s(self) -> float:
+        """Return the seconds without contact until keys are refused."""
+        if self.revoke_s is None:
+            return self.cut_off_s
+        return REVOKE_SHARE * self.revoke_s
 
 
 class PlatformSection(NamedTuple):
@@ -252,6 +262,10 @@
         'Seconds without contact to either the store or a majority of nodes '
         'until keys are refused'
     ),
+    'fleet.revoke_s': (
+        'If set, seconds after which a withdrawn key must not be used anywhere; '
+        'keys are refused after nine tenths of it, whatever `cut_off_s` is'
+    ),
     'fleet.grant_validity_s': 'Seconds until a granted token expires',
     'fleet.grant_horizon_s': 'Seconds of demand covered by one token request',
     'fleet.grant_wait_s': 'Maximum seconds that a call waits for a token',
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,7 +5,11 @@
 import pytest
 
 from limpetshore.errors import SettingsError
-from limpetshore.settings import check_settings, describe_settings
+from limpetshore.settings import (
+    FleetSection,
+    check_settings,
+    describe_settings,
+)
 
 REFERENCE = Path(__file__).parent.parent / 'docs' / 'settings.md'
 
@@ -26,6 +30,14 @@
     return tables | changes
 
 
+@pytest.mark.parametrize('revoke_s', [1, 5, 60])
+def test_waits_lie_within_the_bounds_of_the_platform(revoke_s):
+    """Refuse keys and read the store before the bounds, whatever these are."""
+    fleet = FleetSection(apply_s=revoke_s * 2, revoke_s=revoke_s)
+    assert fleet.reading_bound_s <= fleet.lapse_s < revoke_s
+    assert FleetSection(apply_s=revoke_s, cut_off_s=99).lapse_s == 99
+
+
 def test_reference_page_matches_the_code():
     """Compare docs/settings.md with the output of `limpetshore settings`."""
     assert REFERENCE.read_text().strip() == describe_settings().strip()
