--- a/limpetshore/settings.py
+++ b/limpetshore/settings.py
@@ -263,8 +263,8 @@
         'until keys are refused'
     ),
     'fleet.revoke_s': (
-        'If set, seconds after which a withdrawn key must not be used anywhere; '
-        'keys are refused after nine tenths of it, whatever `cut_off_s` is'
+        'If set, seconds after which no withdrawn key may be used anywhere; '
+        'keys are refused after nine tenths of it, instead of `cut_off_s`'
     ),
     'fleet.grant_validity_s': 'Seconds until a granted token expires',
     'fleet.grant_horizon_s': 'Seconds of demand covered by one token request',
