Give each soak a loopback network that no other fleet uses

LocalFleet and PlatformFleet drew their networks from the same 200 by the id of the process.

Change: the third number of the soak's addresses differs, and follows from the id of the process, too.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -244,7 +244,7 @@
         self.name = f'node-{index}'
         self.service = service
         self.zone = zone
-        self.host = f'127.{fleet.net}.1.{10 + index}'
+        self.host = f'{fleet.net}.{10 + index}'
         self.process = None
         self.started_at = 0
         self.server = PlatformServer(self, f'i-{index}')
@@ -315,11 +315,11 @@
 
     def __init__(self, layout, bounds=None):
         """Prepare a node for each service and zone of `layout`."""
-        self.net = 20 + os.getpid() % 200
+        self.net = find_net()
         self.bounds = {**BOUNDS, **(bounds or {})}
         self.folder = Path(tempfile.mkdtemp(prefix='limpetshore-'))
         self.store = PlatformStore()
-        self.store_address = f'127.{self.net}.1.250:{STORE_PORT}'
+        self.store_address = f'{self.net}.250:{STORE_PORT}'
         self.nodes = [
             PlatformNode(self, index, service, zone)
             for index, (service, zone) in enumerate(layout)
@@ -363,6 +363,15 @@
             task.cancel()
 
 
+def find_net():
+    """Return a loopback network of this process, which no `LocalFleet` uses.
+
+    That one uses 0 and 1 as the third number of its addresses.
+    """
+    high, low = divmod(os.getpid(), 200)
+    return f'127.{20 + low}.{2 + high % 250}'
+
+
 def fill_template(text, fields):
     """Replace the placeholders of a template of the platform.
 
