Give the simulated nodes addresses that are valid

Cause: the simulated nodes used their names as addresses.

Change: the simulation only: each node has an address and a port, by which the network finds it. No test changes.

--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -148,6 +148,7 @@
         """Start without nodes and faults."""
         self.rng = rng
         self.nodes = {}
+        self.names = {}
         self.partitions = {}
         self.loss = 0.0
 
@@ -198,13 +199,19 @@
         """Send a message and return the reply."""
         return await self.network.call(
             self.node,
-            address,
+            self.network.names[address],
             method,
             request,
             timeout_s,
         )
 
 
+def build_address(name):
+    """Return the address of a node, by the number in its name."""
+    high, low = divmod(int(name.rpartition('-')[2]), 250)
+    return f'10.0.{high}.{low + 1}:7000'
+
+
 class SimulatedNode(PolicyListener):
     """Combine the real components of a node without its ports."""
 
@@ -213,7 +220,8 @@
         self.name = name
         self.gate = PauseGate()
         self.versions = []
-        section = FleetSection(seeds=fleet.names, **fleet.settings)
+        seeds = [build_address(name) for name in fleet.names]
+        section = FleetSection(seeds=seeds, **fleet.settings)
         own = NodeState(
             name,
             incarnation,
@@ -222,8 +230,8 @@
             'stock',
             zone,
             'region',
-            name,
-            name,
+            build_address(name),
+            build_address(name),
             10,
         )
         self.fencing = FencingState(name, fence_s=8, cut_off_s=4)
@@ -301,6 +309,7 @@
         self.store = SimulatedStore()
         self.network = SimulatedNetwork(self.rng)
         self.names = [f'node-{number}' for number in range(count)]
+        self.network.names = {build_address(name): name for name in self.names}
         self.scopes = {}
         self.incarnation = 1
         self.reference = ReferenceBucket(rate, burst)
