Keep the configuration of tests and a repeated head in one place

Cause: test_odd_entries imported test data from another test file, and two tests of stray answers built the same head.

Change: CONFIGURATION moves to tests/builders.py; CHUNKED_HEAD stands once. No check changes.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -16,6 +16,40 @@
 SHORT_FLEET_PERIODS = {
     'fleet': {'fence_s': 2, 'takeover_s': 6, 'clock_skew_s': 0.5}
 }
+# As the operator of the platform writes it.
+CONFIGURATION = {
+    'version': 7,
+    'routes': {
+        'r-lookup': {
+            'host': 'Yard.example',
+            'path_prefix': '/stock/',
+            'kind': 'idempotent',
+            'timeout_ms': 5000,
+            'target_ms': 1200,
+            'priority': 2,
+            'split': [
+                {'service': 'yard', 'weight': 90},
+                {'service': 'spare', 'weight': 10},
+            ],
+            'attempts': 2,
+            'is_open': False,
+        },
+        'r-hold': {
+            'host': 'yard.example',
+            'path_prefix': '/stock/hold/',
+            'kind': 'non_idempotent',
+            'timeout_ms': 800,
+            'target_ms': 1500,
+            'service': 'holds',
+        },
+    },
+    'services': {'yard': {'health_path': '/healthz', 'protocol': 'h1'}},
+    'customers': {
+        'harbour': {'keys': ['k1'], 'priority': 1, 'rate': 100, 'burst': 50},
+        'open': {'keys': []},
+    },
+    'limits': {'maxHeaderBytes': 16384},
+}
 
 
 def build_customer(**changes):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -17,10 +17,9 @@
 from limpetshore.state.roster import decode_roster
 from limpetshore.state.store import StoredObject, StoreResponse
 from limpetshore.transport.http_client import Address, connect
-from tests.builders import build_node_state
+from tests.builders import CONFIGURATION, build_node_state
 from tests.mock_clock import run_on_mock_clock
 from tests.platform_store import PlatformStoreClient
-from tests.test_platform import CONFIGURATION
 
 DEPTH = 100_000
 DEEP = b'[' * DEPTH + b']' * DEPTH
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -36,42 +36,10 @@
 from limpetshore.state.store import StoreResponse
 from limpetshore.transport.responses import ResponseHead
 from limpetshore.verdicts import Reason, Refusal, Verdict
+from tests.builders import CONFIGURATION
 from tests.platform_store import PlatformStoreClient
 
 ROOT = Path(__file__).parent.parent
-CONFIGURATION = {
-    'version': 7,
-    'routes': {
-        'r-lookup': {
-            'host': 'Yard.example',
-            'path_prefix': '/stock/',
-            'kind': 'idempotent',
-            'timeout_ms': 5000,
-            'target_ms': 1200,
-            'priority': 2,
-            'split': [
-                {'service': 'yard', 'weight': 90},
-                {'service': 'spare', 'weight': 10},
-            ],
-            'attempts': 2,
-            'is_open': False,
-        },
-        'r-hold': {
-            'host': 'yard.example',
-            'path_prefix': '/stock/hold/',
-            'kind': 'non_idempotent',
-            'timeout_ms': 800,
-            'target_ms': 1500,
-            'service': 'holds',
-        },
-    },
-    'services': {'yard': {'health_path': '/healthz', 'protocol': 'h1'}},
-    'customers': {
-        'harbour': {'keys': ['k1'], 'priority': 1, 'rate': 100, 'burst': 50},
-        'open': {'keys': []},
-    },
-    'limits': {'maxHeaderBytes': 16384},
-}
 
 
 def decode_configured_policy():
--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -25,6 +25,15 @@
 )
 
 
+CHUNKED_HEAD = (
+    b'HTTP/1.1 200 OK\r\n'
+    + wire.REQUEST_ID
+    + b': one\r\n'
+    + wire.SEAL
+    + b': s\r\ntransfer-encoding: chunked\r\n\r\n'
+)
+
+
 async def send_one_and_two(guard):
     """Return the outcomes of two requests, one after the other."""
     first = await send(guard, 'one')
@@ -147,20 +156,13 @@
     A server sent lines after the last piece of a body without end; they were
     kept as headers until the memory of the process ran out.
     """
-    head = (
-        b'HTTP/1.1 200 OK\r\n'
-        + wire.REQUEST_ID
-        + b': one\r\n'
-        + wire.SEAL
-        + b': s\r\ntransfer-encoding: chunked\r\n\r\n'
-    )
 
     async def work(guard):
         started_at = clock.now()
         outcome = await send(guard, 'one', timeout_s=20)
         return outcome, clock.now() - started_at < 10
 
-    script = [[head + frame[0], frame[1]]]
+    script = [[CHUNKED_HEAD + frame[0], frame[1]]]
     assert run_against_server(script, work) == (TruncatedError, True)
 
 
@@ -204,18 +206,11 @@
 
 def test_body_without_end_is_given_up():
     """Abort an answer that is still coming long after the deadline."""
-    head = (
-        b'HTTP/1.1 200 OK\r\n'
-        + wire.REQUEST_ID
-        + b': one\r\n'
-        + wire.SEAL
-        + b': s\r\ntransfer-encoding: chunked\r\n\r\n'
-    )
 
     async def work(guard):
         return await send(guard, 'one', timeout_s=0.3)
 
-    script = [[head, lambda: b'3e8\r\n' + b'b' * 1000 + b'\r\n']]
+    script = [[CHUNKED_HEAD, lambda: b'3e8\r\n' + b'b' * 1000 + b'\r\n']]
     assert run_against_server(script, work) is TruncatedError
 
 
