Do the work of a stopping node only while it stops

Each request asked whether the node stops, and each read took the time.

Change: the drain schedule is asked only by a node that is leaving; the time of discarded bytes is taken only for these.

--- a/limpetshore/routing/ingress.py
+++ b/limpetshore/routing/ingress.py
@@ -202,7 +202,8 @@
             self.state.settings.call,
             deadline,
         )
-        self.check_drain(end_at)
+        if self.state.guard.is_leaving:
+            self.check_drain(end_at)
         if inbound.body_rest is None:
             failure = await self.attempts.run(inbound)
         else:
--- a/limpetshore/transport/call_server.py
+++ b/limpetshore/transport/call_server.py
@@ -65,7 +65,7 @@
         self.receiving = ServerRequest(self)
         self.write_waiter: asyncio.Future[None] | None = None
         self.idle_since = clock.now()
-        self.received_at = clock.now()
+        self.discarded_at = clock.now()
         self.header_bytes = 0
         self.is_in_headers = True
         self.is_paused = False
@@ -98,8 +98,8 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse requests; refuse bytes that are not HTTP, and close."""
-        self.received_at = clock.now()
         if self.is_malformed or self.is_discarding:
+            self.discarded_at = clock.now()
             return
         self.header_bytes += len(received)
         try:
@@ -278,7 +278,7 @@
         if self.is_disconnected:
             return
         is_sent = not self.transport.get_write_buffer_size()
-        is_quiet = clock.now() >= self.received_at + LINGER_S
+        is_quiet = clock.now() >= self.discarded_at + LINGER_S
         if is_sent and is_quiet:
             self.transport.close()
         else:
