--- a/limpetshore/metrics.py
+++ b/limpetshore/metrics.py
@@ -109,6 +109,11 @@
             'Nodes seen alive, this one included',
             registry=registry,
         )
+        self.stalled_s = Counter(
+            'limpetshore_event_loop_stalled_seconds',
+            'Seconds for which the event loop stood still, in long stalls',
+            registry=registry,
+        )
         self.refusal_children = {
             labels: self.refusals.labels(*labels)
             for labels in itertools.product(ROLES, Reason, REFUSING_VERDICTS)
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -43,6 +43,7 @@
     hold_signals,
     log_hangups,
 )
+from limpetshore.stalls import sleep_watchfully
 from limpetshore.state.fencing import FencingState
 from limpetshore.state.members import MemberTable, Status
 from limpetshore.state.policies import PolicyIndex
@@ -335,7 +336,7 @@
                 await anyio.sleep(JOIN_POLL_S)
                 continue
             self.budgets.update_owners()
-            await anyio.sleep(UPDATE_PERIOD_S)
+            await sleep_watchfully(self.metrics, UPDATE_PERIOD_S)
 
     def publish_own_state(self) -> None:
         """Publish whether the local server accepts work."""
--- a/limpetshore/transport/call_server.py
+++ b/limpetshore/transport/call_server.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import http
+import select
 import socket
 from abc import ABC, abstractmethod
 from collections import deque
@@ -227,6 +228,16 @@
         """Tell whether no request is open."""
         return not self.open_requests
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Tell whether bytes have arrived that this process has not read.
+
+        A process that had no processor time runs its timers before it reads.
+        """
+        poller = select.poll()
+        poller.register(self.transport.get_extra_info('socket'), select.POLLIN)
+        return bool(poller.poll(0))
+
     def pause_reading(self) -> None:
         """Stop reading from the socket, so that TCP slows the caller down."""
         if not self.is_paused and not self.is_disconnected:
@@ -259,6 +270,15 @@
         if self.write_waiter is not None:
             await self.write_waiter
 
+    def close_idle(self) -> None:
+        """Close while no request is open."""
+        if not self.is_lingering and self.has_unread_bytes:
+            logger.notice(
+                'closing an idle connection of {0} with unread bytes',
+                self.peer_host,
+            )
+        self.close()
+
     def close(self) -> None:
         """Close after all written bytes are sent; discard what still comes.
 
@@ -333,7 +353,7 @@
         while self.connections and clock.now() < deadline:
             for connection in list(self.connections):
                 if connection.is_idle:
-                    connection.close()
+                    connection.close_idle()
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
 
     async def sweep(self) -> None:
@@ -354,7 +374,7 @@
                     else KEEP_ALIVE_TIMEOUT_S
                 )
                 if connection.is_idle and now > connection.idle_since + limit_s:
-                    connection.close()
+                    connection.close_idle()
 
     async def wait_started(self) -> None:
         """Return once the port is open."""
