--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -14,7 +14,6 @@
 from pathlib import Path
 from urllib.parse import parse_qsl, unquote, urlsplit
 
-from limpetshore.settings import parse_address
 from limpetshore.transport.call_server import CallApp, CallServer
 from limpetshore.transport.http_client import Address, HttpPool
 
@@ -23,6 +22,10 @@
 HOST = 'shop.example'
 HEARTBEAT_S = 1.5
 STORE_PORT = 8545
+MAX_SILENCE_S = 30
+SERVER_GRACE_S = 6
+# A server that gets no acknowledgement leaves anyway after so many attempts.
+MAX_REPORTS = 3
 BOUNDS = {
     'drainMs': 2000,
     'graceS': 6,
@@ -121,6 +124,29 @@
                 continue
 
 
+class StoreAccess(CallApp):
+    """Let one node use the store, or turn it away.
+
+    `refusal` is a status, `silent` or `reset`; empty while the store answers.
+    """
+
+    def __init__(self, store):
+        """Start with a store that answers."""
+        self.store = store
+        self.refusal = ''
+
+    async def serve(self, request):
+        """Answer one call, or do to it what `refusal` says."""
+        if self.refusal == 'reset':
+            request.connection.abort()
+        elif self.refusal == 'silent':
+            await asyncio.sleep(MAX_SILENCE_S)
+        elif self.refusal:
+            send_json(request, int(self.refusal), None)
+        else:
+            await self.store.serve(request)
+
+
 class PlatformServer(CallApp):
     """Run requests: `work` in the query is their time in ms.
 
@@ -128,6 +154,8 @@
     work; with `calls`, so many pipelined calls are made to `path` first.
     """
 
+    slots = 40
+
     def __init__(self, node, instance):
         """Serve beside a node, under an instance id."""
         self.node = node
@@ -139,6 +167,8 @@
         # Time at which each request began and ended here, None while it runs.
         self.runs = {}
         self.ends = {}
+        # Time at which a node acknowledged that this server leaves.
+        self.drained_at = None
 
     async def serve(self, request):
         """Answer one request, or a health check."""
@@ -207,16 +237,24 @@
             {
                 'service': self.node.service,
                 'address': str(self.node.address(8547)),
-                'slots': 40,
+                'slots': self.slots,
                 'state': self.state,
                 'sequence': self.sequence,
                 'born': self.born,
             }
         ).encode()
+        return await self.call_registry(pool, b'PUT', content)
+
+    async def send_departure(self, pool):
+        """Report that this server leaves; return whether it is acknowledged."""
+        return await self.call_registry(pool, b'DELETE', b'')
+
+    async def call_registry(self, pool, method, content):
+        """Send a call about this server; return whether it was acknowledged."""
         try:
             async with asyncio.timeout(1), pool.connection() as connection:
                 await connection.send_head(
-                    b'PUT',
+                    method,
                     b'/instances/' + self.instance.encode(),
                     [(b'content-length', b'%d' % len(content))],
                     content,
@@ -227,6 +265,15 @@
         except Exception:
             return False
 
+    async def report(self, address, send):
+        """Send a report until it is acknowledged; return when, None if not."""
+        pool = HttpPool(address, 0)
+        for _ in range(MAX_REPORTS):
+            if await send(pool):
+                return time.monotonic()
+            await asyncio.sleep(0.2)
+        return None
+
 
 def send_json(request, status, answer, headers=()):
     """Send an answer with a JSON body."""
@@ -247,7 +294,18 @@
         self.host = f'{fleet.net}.{10 + index}'
         self.process = None
         self.started_at = 0
-        self.server = PlatformServer(self, f'i-{index}')
+        self.store_access = StoreAccess(fleet.store)
+        self.replacements = 0
+        self.server = None
+        self.server_tasks = []
+        self.build_server()
+
+    def build_server(self):
+        """Build the next server beside this node, under a new id."""
+        self.replacements += 1
+        instance = f'i-{self.name}-{self.replacements}'
+        self.server = self.fleet.server_class(self, instance)
+        self.fleet.servers.append(self.server)
 
     def address(self, port):
         """Return an address of this VM."""
@@ -269,7 +327,7 @@
             'internalPorts': [7000, 7015],
             'appAddr': f'{self.host}:8547',
             'service': self.service,
-            'platform': {'address': self.fleet.store_address},
+            'platform': {'address': str(self.address(STORE_PORT))},
             'bounds': self.fleet.bounds,
         }
         path = self.fleet.folder / f'{self.name}.toml'
@@ -313,13 +371,14 @@
 class PlatformFleet:
     """Hold the store, the nodes and the servers beside them."""
 
-    def __init__(self, layout, bounds=None):
+    def __init__(self, layout, bounds=None, server_class=PlatformServer):
         """Prepare a node for each service and zone of `layout`."""
+        self.server_class = server_class
+        self.servers = []
         self.net = find_net()
         self.bounds = {**BOUNDS, **(bounds or {})}
         self.folder = Path(tempfile.mkdtemp(prefix='limpetshore-'))
         self.store = PlatformStore()
-        self.store_address = f'{self.net}.250:{STORE_PORT}'
         self.nodes = [
             PlatformNode(self, index, service, zone)
             for index, (service, zone) in enumerate(layout)
@@ -334,15 +393,43 @@
 
     async def start(self, configuration):
         """Start all and wait until all nodes are ready."""
-        await self.serve(self.store, parse_address(self.store_address))
         self.configure(configuration)
         for node in self.nodes:
-            await self.serve(node.server, node.address(8547))
+            await self.serve(node.store_access, node.address(STORE_PORT))
+            await self.start_server(node)
             await node.start()
-            self.tasks.append(asyncio.ensure_future(node.server.beat()))
         for node in self.nodes:
             await self.wait_ready(node)
 
+    async def start_server(self, node):
+        """Start the server beside a node, with its heartbeats."""
+        server = CallServer(
+            node.server, node.address(8547), graceful_s=SERVER_GRACE_S
+        )
+        node.server_tasks = [
+            asyncio.ensure_future(server.run_until_stopped()),
+            asyncio.ensure_future(node.server.beat()),
+        ]
+        self.tasks += node.server_tasks
+        await server.wait_started()
+        node.call_server = server
+
+    async def end_server(self, node, served_s):
+        """Drain the server beside a node, let it leave, and end it.
+
+        It goes on serving for `served_s` seconds after it reported that.
+        """
+        server = node.server
+        server.state = 'draining'
+        server.drained_at = await server.report(
+            node.address(8540), server.send_beat
+        )
+        await asyncio.sleep(served_s)
+        await server.report(node.address(8540), server.send_departure)
+        node.server_tasks[1].cancel()
+        node.call_server.stop()
+        await node.call_server.wait_stopped()
+
     async def wait_ready(self, node, timeout_s=30):
         """Wait until a node is ready."""
         async with asyncio.timeout(timeout_s):
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -38,6 +38,7 @@
 LATE_SHARE = 5 / 6
 MAX_DOWN_S = 2.0
 PROBE_PERIOD_S = 0.1
+PIECE_BYTES = 16384
 # Earlier, the interpreter itself may not have started yet.
 HANGUP_AFTER_START_S = (0.5, 1.0)
 
@@ -51,6 +52,7 @@
     is_first: bool
     sent_at: float
     timeout_s: float
+    path: str
 
 
 class Outcome(NamedTuple):
@@ -79,6 +81,7 @@
         self.outcomes = []
         self.planned = []
         self.broken = []
+        self.sent = {}
         self.count = 0
 
     def next_id(self, label):
@@ -100,11 +103,12 @@
 class KeptConnection:
     """Send requests on one connection until its node closes it."""
 
-    def __init__(self, record, node, label):
+    def __init__(self, record, node, label, key=KEY):
         """Prepare a connection to the callers' port of a node."""
         self.record = record
         self.node = node
         self.label = label
+        self.key = key
 
     async def run(self, build_requests, until):
         """Open a connection, send groups of requests, and open it again."""
@@ -125,33 +129,38 @@
                     await asyncio.sleep(0.2)
             writer.transport.abort()
 
-    async def exchange(self, reader, writer, targets):
+    async def exchange(
+        self, reader, writer, targets, body=b'', *, pause_s=0, is_judged=True
+    ):
         """Send pipelined requests; return statuses and whether it is open.
 
-        Each target is a path, with the method and the timeout in seconds.
+        Each target is a path, with the method and the timeout in seconds. A
+        body is sent in pieces, with a pause after each.
         """
         sent = []
         for method, path, timeout_s in targets:
             request_id = self.record.next_id(self.label)
-            sent.append(
-                Sent(
-                    request_id,
-                    self.node.name,
-                    method == 'GET',
-                    not sent,
-                    time.monotonic(),
-                    timeout_s,
-                )
+            one = Sent(
+                request_id,
+                self.node.name,
+                method == 'GET',
+                not sent,
+                time.monotonic(),
+                timeout_s,
+                path,
             )
+            sent.append(one)
+            self.record.sent[request_id] = one
             lines = [
                 f'{method} {path} HTTP/1.1',
                 f'Host: {HOST}',
                 f'Limpetshore-Request-Id: {request_id}',
                 f'Limpetshore-Deadline-Ms: {int(timeout_s * 1000)}',
-                f'Authorization: Bearer {KEY}',
-                'Content-Length: 0',
+                f'Authorization: Bearer {self.key}',
+                f'Content-Length: {len(body)}',
             ]
             writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
+            await send_slowly(writer, body, pause_s)
         statuses = []
         is_open = True
         for one in sent:
@@ -159,12 +168,24 @@
             if is_open:
                 status, is_whole, is_open = await read_answer(reader, one)
             statuses.append(status)
-            self.record.outcomes.append(
-                Outcome(one, status, is_whole, time.monotonic())
-            )
+            if is_judged:
+                self.record.outcomes.append(
+                    Outcome(one, status, is_whole, time.monotonic())
+                )
         return statuses, is_open
 
 
+async def send_slowly(writer, body, pause_s):
+    """Send a body in pieces, with a pause after each."""
+    for start in range(0, len(body), PIECE_BYTES):
+        writer.write(body[start : start + PIECE_BYTES])
+        try:
+            await writer.drain()
+        except OSError:
+            return
+        await asyncio.sleep(pause_s)
+
+
 async def read_answer(reader, sent):
     """Return the status, whether the answer is whole, and is kept open."""
     status = 0
@@ -364,7 +385,7 @@
             for killed_at, back_at in pairs
         )
 
-    async def stop_node(self, node):
+    async def stop_node(self, node, *, is_restarted=True):
         """Stop a node, at times with a second signal, and start it again."""
         rng = self.rng
         self.send_signal(node, signal.SIGTERM)
@@ -385,8 +406,9 @@
             self.record.broken.append(
                 f'{node.name} ended with {node.process.returncode}'
             )
-        await asyncio.sleep(rng.uniform(0, MAX_DOWN_S))
-        await node.start()
+        if is_restarted:
+            await asyncio.sleep(rng.uniform(0, MAX_DOWN_S))
+            await node.start()
 
     def send_signal(self, node, number):
         """Send a signal to a node and record it."""
@@ -457,10 +479,10 @@
     def check_outcomes(self):
         """Check each request against what the servers ran."""
         runs, ends = {}, {}
-        for node in self.fleet.nodes:
-            for request_id, times in node.server.runs.items():
+        for server in self.fleet.servers:
+            for request_id, times in server.runs.items():
                 runs.setdefault(request_id, []).extend(times)
-            ends.update(node.server.ends)
+            ends.update(server.ends)
         for outcome in self.record.outcomes:
             self.check_outcome(outcome, runs, ends)
 
--- /dev/null
+++ b/standins/soak_site.py
@@ -0,0 +1,515 @@
+"""Play several kinds of trouble at once on a fleet like that of a real site.
+
+Run `python -m standins.soak_site --seed 1 --seconds 30 --nodes 17`. It ends
+with status 1 and a line for each broken promise. Four services call each other, four
+deep. Beside the planned work of `standins.soak`, whole VMs are restarted, a
+store turns some nodes away, nodes are paused or killed, a service gets more
+requests than it can serve, and configurations move, split, add and drop routes
+and keys and change timeouts. `--trouble` selects some of these.
+"""
+
+import argparse
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+import time
+
+import anyio
+
+from standins.platform_fleet import (
+    KEY,
+    PlatformFleet,
+    build_configuration,
+    build_route,
+)
+from standins.site_servers import SERVICES, SiteServer
+from standins.soak import (
+    APPLY_S,
+    GRACE_S,
+    IN_TOUCH_S,
+    MAX_DOWN_S,
+    ZONES,
+    KeptConnection,
+    Soak,
+)
+from standins.soak_checks import SiteChecks, Version
+
+TROUBLES = (
+    'stop',
+    'machine',
+    'hangup',
+    'change',
+    'store',
+    'surge',
+    'pause',
+    'kill',
+)
+STORE_REFUSALS = ('503', '429', 'reset', 'silent')
+DRAIN_S = 2.0
+SLOW_WORK_MS = 1200
+SLOW_TIMEOUTS_MS = (400, 700, 1000)
+LAG_PERIOD_S = 0.02
+SPLIT_WEIGHTS = ((90, 10), (50, 50), (60, 40), (75, 25), (30, 70))
+MAX_EXTRA_ROUTES = 350
+
+
+class SiteSoak(Soak):
+    """Play one seed on a fleet of four services."""
+
+    def __init__(self, seed, seconds, count, troubles, callers):
+        """Prepare a fleet of `count` nodes with `callers` callers each."""
+        super().__init__(seed, seconds, count, has_kills='kill' in troubles)
+        self.troubles = troubles
+        self.callers = callers
+        names = [one.name for one in SERVICES for _ in range(one.share)]
+        layout = [
+            (names[index * 7 % len(names)], ZONES[index % 3])
+            for index in range(count)
+        ]
+        self.fleet = PlatformFleet(layout, server_class=SiteServer)
+        self.versions = []
+        self.keys = []
+        self.withdrawn = []
+        self.moved_to = 'stock'
+        self.weights = SPLIT_WEIGHTS[0]
+        self.slow_ms = SLOW_TIMEOUTS_MS[0]
+        self.extra_routes = 0
+        # Who was disturbed, or '' for the store, from when to when.
+        self.disturbances = []
+        self.max_lag_s = 0
+
+    async def run(self):
+        """Play the seed; return the broken promises."""
+        for node in self.fleet.nodes:
+            node.server.calls = self.build_caller(node)
+        try:
+            await self.fleet.start(self.build_configuration())
+            self.changed_at = time.monotonic()
+            self.note_version()
+            await asyncio.sleep(IN_TOUCH_S)
+            await self.play()
+        finally:
+            await self.fleet.stop()
+        self.check_outcomes()
+        self.record.broken += SiteChecks(self).run()
+        return self.record.broken
+
+    async def play(self):
+        """Run load, probes and troubles beside each other."""
+        until = time.monotonic() + self.seconds
+        load = [
+            KeptConnection(self.record, node, f'c{index}n').run(
+                self.draw_requests, until + GRACE_S
+            )
+            for node in self.fleet.nodes
+            for index in range(self.callers)
+        ]
+        load += [
+            self.send_alone(node, until + GRACE_S) for node in self.fleet.nodes
+        ]
+        probes = [self.probe_routes(node, until) for node in self.fleet.nodes]
+        plays = {
+            'stop': [self.stop_nodes(until), self.stop_nodes(until)],
+            'machine': [self.restart_machines(until)],
+            'hangup': [self.hang_up(until)],
+            'change': [self.change_configuration(until)],
+            'store': [self.refuse_nodes(until)],
+            'surge': [self.surge(until)],
+            'pause': [self.pause_nodes(until)],
+            'kill': [self.kill_nodes(until)],
+        }
+        chosen = []
+        for name, parts in plays.items():
+            if name in self.troubles:
+                chosen += parts
+            else:
+                for part in parts:
+                    part.close()
+        lag = asyncio.ensure_future(self.measure_lag())
+        await asyncio.gather(*load, *probes, *chosen)
+        lag.cancel()
+
+    async def measure_lag(self):
+        """Record how late this process is, which limits what it can judge."""
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(LAG_PERIOD_S)
+            lag_s = time.monotonic() - before - LAG_PERIOD_S
+            self.max_lag_s = max(self.max_lag_s, lag_s)
+
+    def build_configuration(self):
+        """Return the current configuration."""
+        moved = build_route('/move/', self.moved_to)
+        split = build_route('/split/', '')
+        del split['service']
+        split['split'] = [
+            {'service': service, 'weight': weight}
+            for service, weight in zip(
+                ('stock', 'holds'), self.weights, strict=True
+            )
+        ]
+        routes = {
+            'stock': build_route('/stock/', 'stock'),
+            'hold': build_route(
+                '/hold/', 'holds', 'non_idempotent', timeout_ms=4000
+            ),
+            'draw': build_route('/draw/', 'plans', 'download'),
+            'pour': build_route('/pour/', 'dispatch', 'non_idempotent'),
+            'ledger': build_route(
+                '/ledger/', 'holds', is_open=True, timeout_ms=2500
+            ),
+            'index': build_route(
+                '/index/', 'plans', is_open=True, timeout_ms=2000
+            ),
+            'roster': build_route(
+                '/roster/', 'dispatch', is_open=True, timeout_ms=700
+            ),
+            'promo': build_route(self.added, 'stock'),
+            'moved': moved,
+            'split': split,
+            'slow': build_route('/slow/', 'plans', timeout_ms=self.slow_ms),
+        }
+        for index in range(self.extra_routes):
+            prefix = f'/extra-{index}/'
+            routes[f'extra-{index}'] = build_route(prefix, 'plans')
+        configuration = build_configuration(
+            self.version, routes, [one.name for one in SERVICES]
+        )
+        configuration['customers']['tenant-2'] = {
+            'keys': list(self.keys),
+            'priority': 1,
+        }
+        return configuration
+
+    def note_version(self):
+        """Record what the configuration that was just written allows."""
+        self.versions.append(
+            Version(
+                time.monotonic(),
+                self.version,
+                self.moved_to,
+                self.weights,
+                self.slow_ms,
+            )
+        )
+
+    def draw_requests(self):
+        """Draw one request, or several to be pipelined."""
+        rng = self.rng
+        kind = rng.randrange(100)
+        if kind < 40:
+            count = rng.choice((1, 1, 1, 2, 4))
+            return [('GET', '/stock/1?work=90', 5)] * count
+        if kind < 55:
+            return [('POST', '/hold/1?work=120', 5)]
+        if kind < 63:
+            size = rng.choice((6000, 90000, 400000))
+            return [('GET', f'/draw/1?work=72&size={size}&framing=chunks', 3)]
+        if kind < 70:
+            return [('DELETE', '/pour/1?work=72', 1)]
+        if kind < 75:
+            return [('GET', f'/slow/1?work={SLOW_WORK_MS}', 5)]
+        if kind < 90:
+            return [('GET', '/split/1?work=5', 5)]
+        return [('GET', '/move/1?work=5', 5)]
+
+    async def send_alone(self, node, until):
+        """Send each request on a connection of its own, with a slow body."""
+        while time.monotonic() < until:
+            await asyncio.sleep(self.rng.uniform(0.1, 0.6))
+            kept = KeptConnection(self.record, node, 'f')
+            try:
+                reader, writer = await asyncio.open_connection(
+                    *node.address(8548)
+                )
+            except OSError:
+                continue
+            size = self.rng.choice((0, 4000, 200000))
+            path = self.rng.choice(('/hold/2?work=120', '/pour/2?work=72'))
+            await kept.exchange(
+                reader, writer, [('POST', path, 4)], b'.' * size, pause_s=0.02
+            )
+            writer.transport.abort()
+
+    def build_caller(self, node):
+        """Return what makes the calls of the server beside a node."""
+        connections = []
+
+        async def call_once(parent_id, prefix, deadline):
+            left_s = deadline - time.monotonic()
+            if left_s <= 0:
+                return [504]
+            label = f'{parent_id}.'
+            kept = KeptConnection(self.record, node, label)
+            try:
+                pair = connections.pop() if connections else None
+                reader, writer = pair or await asyncio.open_connection(
+                    *node.address(8548)
+                )
+            except OSError:
+                return [0]
+            is_open = False
+            try:
+                statuses, is_open = await kept.exchange(
+                    reader, writer, [('GET', f'{prefix}1?work=15', left_s)]
+                )
+            finally:
+                if not is_open:
+                    writer.transport.abort()
+            if is_open:
+                connections.append((reader, writer))
+            return statuses
+
+        async def make_calls(parent_id, calls, deadline):
+            statuses = []
+            if calls.is_concurrent:
+                found = await asyncio.gather(
+                    *(
+                        call_once(parent_id, calls.prefix, deadline)
+                        for _ in range(calls.count)
+                    )
+                )
+                return [one[0] for one in found]
+            for _ in range(calls.count):
+                statuses += await call_once(parent_id, calls.prefix, deadline)
+                if statuses[-1] != 200:
+                    break
+            return statuses
+
+        return make_calls
+
+    async def restart_machines(self, until):
+        """Restart whole VMs: the server drains and leaves, then its node."""
+        rng = self.rng
+        while time.monotonic() < until - GRACE_S:
+            await asyncio.sleep(rng.uniform(0.2, 3))
+            node = rng.choice(self.fleet.nodes)
+            if node in self.stopping:
+                continue
+            self.stopping.add(node)
+            self.disturbances.append(
+                [node.name, time.monotonic(), float('inf'), 'machine']
+            )
+            entry = self.disturbances[-1]
+            await self.fleet.end_server(node, DRAIN_S + rng.uniform(0, 2))
+            await self.stop_node(node, is_restarted=False)
+            await asyncio.sleep(rng.uniform(0, MAX_DOWN_S))
+            node.build_server()
+            node.server.calls = self.build_caller(node)
+            await self.fleet.start_server(node)
+            await node.start()
+            await self.wait_ready(node)
+            entry[2] = time.monotonic()
+            self.stopping.discard(node)
+
+    async def refuse_nodes(self, until):
+        """Let the store turn some nodes away for some seconds."""
+        rng = self.rng
+        while time.monotonic() < until:
+            await asyncio.sleep(rng.uniform(0.5, 4))
+            share = rng.choice((0.1, 0.35, 0.35, 0.6))
+            count = max(1, int(share * len(self.fleet.nodes)))
+            chosen = rng.sample(self.fleet.nodes, count)
+            refusal = rng.choice(STORE_REFUSALS)
+            entry = ['', time.monotonic(), float('inf'), 'store']
+            self.disturbances.append(entry)
+            for node in chosen:
+                node.store_access.refusal = refusal
+            await asyncio.sleep(rng.uniform(1, 9))
+            for node in chosen:
+                node.store_access.refusal = ''
+            entry[2] = time.monotonic()
+
+    async def surge(self, until):
+        """Send one service more than it can serve for some seconds."""
+        rng = self.rng
+        while time.monotonic() < until - 3:
+            await asyncio.sleep(rng.uniform(1, 6))
+            path = rng.choice(
+                ('/pour/3?work=300', '/split/3?work=800', '/slow/3?work=600')
+            )
+            method = 'DELETE' if 'pour' in path else 'GET'
+            end_at = min(until, time.monotonic() + rng.uniform(1, 4))
+            await asyncio.gather(
+                *(
+                    KeptConnection(self.record, node, 's').run(
+                        lambda: [(method, path, 2)], end_at
+                    )
+                    for node in rng.sample(
+                        self.fleet.nodes, len(self.fleet.nodes) // 2
+                    )
+                    for _ in range(6)
+                )
+            )
+
+    async def pause_nodes(self, until):
+        """Pause single nodes for some seconds."""
+        rng = self.rng
+        while time.monotonic() < until - GRACE_S:
+            await asyncio.sleep(rng.uniform(2, 8))
+            node = rng.choice(self.fleet.nodes)
+            if node in self.stopping:
+                continue
+            self.stopping.add(node)
+            self.killed_at.append(time.monotonic())
+            node.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(rng.uniform(0.5, 5))
+            node.process.send_signal(signal.SIGCONT)
+            self.killed_at.append(time.monotonic())
+            node.started_at = time.monotonic()
+            self.stopping.discard(node)
+
+    async def change_configuration(self, until):
+        """Change routes, splits, timeouts and keys, at times in series."""
+        rng = self.rng
+        while time.monotonic() < until:
+            await asyncio.sleep(rng.choice((0.33, 0.33, 3, 4, 6, 8)))
+            self.version += rng.randint(1, 4)
+            self.dropped, self.added = self.added, f'/promo-{self.version}/'
+            if rng.random() < 0.4:
+                self.moved_to = rng.choice([one.name for one in SERVICES])
+            if rng.random() < 0.4:
+                self.weights = rng.choice(SPLIT_WEIGHTS)
+            if rng.random() < 0.4:
+                self.slow_ms = rng.choice(SLOW_TIMEOUTS_MS)
+            if rng.random() < 0.1:
+                self.extra_routes = rng.choice((0, MAX_EXTRA_ROUTES))
+            if rng.random() < 0.5 and self.keys:
+                key = self.keys.pop(0)
+                self.withdrawn.append((time.monotonic(), key))
+            else:
+                self.keys.append(f'k{self.version:08d}abcdefghijk')
+            self.changed_before_at = self.changed_at
+            self.changed_at = time.monotonic()
+            self.fleet.configure(self.build_configuration())
+            self.note_version()
+
+    @property
+    def is_store_stable(self):
+        """Tell whether the store has answered all nodes for a while."""
+        since = time.monotonic() - IN_TOUCH_S
+        return all(
+            name or end_at < since for name, _, end_at, _ in self.disturbances
+        )
+
+    async def probe_routes(self, node, until):
+        """Ask a node for new and dropped routes and keys."""
+        pause_s = 0.02 * len(self.fleet.nodes)
+        while time.monotonic() < until:
+            await asyncio.sleep(pause_s)
+            added, dropped, keys = self.added, self.dropped, list(self.keys)
+            changed_at, sent_at = self.changed_at, time.monotonic()
+            bound_s = APPLY_S if self.is_store_stable else APPLY_S + 5
+            is_running = (
+                node not in self.stopping
+                and sent_at > node.started_at + IN_TOUCH_S
+            )
+            if is_running and sent_at > changed_at + bound_s:
+                asked = [(added, KEY, 404), (dropped, KEY, 200)]
+                asked += [('/stock/9', key, 401) for key in keys[-1:]]
+                for path, key, bad_status in asked:
+                    if path:
+                        await self.probe_one(node, path, key, bad_status)
+            await self.probe_withdrawn(node)
+
+    async def probe_one(self, node, path, key, bad_status):
+        """Report an answer that only an older version allows."""
+        changed_at, sent_at = self.changed_at, time.monotonic()
+        status = await self.ask_with(node, path, key)
+        is_old = status == bad_status and changed_at == self.changed_at
+        if is_old and node not in self.stopping:
+            self.record.broken.append(
+                f'CONFIG: {node.name} acts on an older version than '
+                f'{self.version}, {sent_at - changed_at:.2f} s after it: '
+                f'{status} for {path}'
+            )
+
+    async def probe_withdrawn(self, node):
+        """Send a request with a key that was withdrawn long enough ago."""
+        if not self.withdrawn:
+            return
+        sent_at = time.monotonic()
+        due = [key for at, key in self.withdrawn if sent_at > at + 5]
+        if due and await self.ask_with(node, '/stock/8', due[-1]) == 200:
+            self.record.broken.append(
+                f'CONFIG: {node.name} took a withdrawn key after 5 s'
+            )
+
+    async def ask_with(self, node, path, key):
+        """Return the status of one request, 0 without an answer."""
+        kept = KeptConnection(self.record, node, 'p', key)
+        try:
+            reader, writer = await asyncio.open_connection(*node.address(8548))
+        except OSError:
+            return 0
+        statuses, _ = await kept.exchange(
+            reader, writer, [('GET', path, 3)], is_judged=False
+        )
+        writer.transport.abort()
+        return statuses[0]
+
+
+async def play_seed(options, seed):
+    """Play a seed and print what was seen; return the broken promises."""
+    troubles = options.trouble.split(',') if options.trouble else TROUBLES[:6]
+    soak = SiteSoak(
+        seed, options.seconds, options.nodes, troubles, options.callers
+    )
+    broken = await soak.run()
+    statuses = {}
+    for outcome in soak.record.outcomes:
+        key = outcome.status if outcome.is_whole else f'cut {outcome.status}'
+        statuses[str(key)] = statuses.get(str(key), 0) + 1
+    report = {
+        'seed': seed,
+        'nodes': options.nodes,
+        'troubles': list(troubles),
+        'statuses': statuses,
+        'sigterms': sum(
+            planned.signal == signal.SIGTERM for planned in soak.record.planned
+        ),
+        'machines': sum(one[3] == 'machine' for one in soak.disturbances),
+        'versions': len(soak.versions),
+        'max_lag_s': round(soak.max_lag_s, 3),
+        'broken': len(broken),
+        'logs': str(soak.fleet.folder),
+    }
+    print(json.dumps(report), flush=True)
+    for line in broken[: options.lines]:
+        print(line, flush=True)
+    return broken
+
+
+def main():
+    """Play seeds one after the other; return 1 if a promise was broken."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seeds', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=30)
+    parser.add_argument('--nodes', type=int, default=17)
+    parser.add_argument('--callers', type=int, default=2)
+    parser.add_argument('--busy', type=int, default=0)
+    parser.add_argument('--lines', type=int, default=30)
+    parser.add_argument('--trouble', default='')
+    options = parser.parse_args()
+    busy = [
+        subprocess.Popen([sys.executable, '-c', 'while True: pass'])
+        for _ in range(options.busy)
+    ]
+    has_broken = False
+    try:
+        for seed in range(options.seed, options.seed + options.seeds):
+            broken = anyio.run(
+                play_seed, options, seed, backend_options={'use_uvloop': True}
+            )
+            has_broken = has_broken or bool(broken)
+    finally:
+        for process in busy:
+            process.kill()
+    return int(has_broken)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
