--- a/tests/test_call_server.py
+++ b/tests/test_call_server.py
@@ -1,6 +1,7 @@
 """Test CallServer over loopback connections."""
 
 import asyncio
+import socket
 
 import anyio
 import pytest
@@ -205,6 +206,68 @@
     assert len(run(work).partition(b'\r\n\r\n')[2]) == BIG_BYTES
 
 
+async def receive_answer(connection):
+    """Return what a socket receives until its end, in a thread."""
+
+    def receive():
+        received = b''
+        connection.settimeout(2)
+        while chunk := connection.recv(65536):
+            received += chunk
+        return received
+
+    return await asyncio.to_thread(receive)
+
+
+def test_request_that_lies_unread_is_answered_when_stopping():
+    """Read what has come before an idle connection is closed.
+
+    A node that had no processor time closed the connections of requests that
+    it had not read, so that these had no answer.
+    """
+
+    async def work(app, server, reader, writer):
+        writer.write(build_request('/first'))
+        await reader.readuntil(b'/first')
+        kept = writer.get_extra_info('socket').dup()
+        kept.send(build_request('/unread'))
+        server.stop()
+        await server.wait_stopped()
+        return await receive_answer(kept)
+
+    assert run(work).endswith(b'/unread')
+
+
+def test_connection_that_is_not_accepted_yet_is_served_when_stopping():
+    """Serve callers that have connected before the port closes."""
+
+    async def work(app, server, reader, writer):
+        fresh = socket.create_connection(ADDRESS)
+        fresh.sendall(build_request('/fresh'))
+        server.stop()
+        await server.wait_stopped()
+        return await receive_answer(fresh)
+
+    assert run(work).endswith(b'/fresh')
+
+
+def test_request_that_lies_unread_is_answered_after_an_idle_time():
+    """Read what has come before a connection counts as idle for too long."""
+
+    async def work(app, server, reader, writer):
+        writer.write(build_request('/first'))
+        await reader.readuntil(b'/first')
+        connection = next(iter(server.connections))
+        kept = writer.get_extra_info('socket').dup()
+        kept.send(build_request('/unread'))
+        connection.close_idle()
+        received = await reader.readuntil(b'/unread')
+        kept.close()
+        return received
+
+    assert run(work).endswith(b'/unread')
+
+
 @pytest.mark.parametrize('start', [b'0\r\nx: ', b'1;'])
 def test_trailer_without_end_is_not_kept(start):
     """Close the connection of a caller that sends no body, without an end."""
