Say when bytes are unread as it is, and starve nodes in the soak

What is left is the time between that read and the decision, which is short unless the process is stopped in it.

standins/soak_site.py can take the processor from a node that stops, for moments of 0.1 to 0.35 s (--trouble starve).

--- a/limpetshore/transport/call_server.py
+++ b/limpetshore/transport/call_server.py
@@ -230,10 +230,7 @@
 
     @property
     def has_unread_bytes(self) -> bool:
-        """Tell whether bytes have arrived that this process has not read.
-
-        A process that had no processor time runs its timers before it reads.
-        """
+        """Tell whether bytes have arrived since the event loop last read."""
         poller = select.poll()
         poller.register(self.transport.get_extra_info('socket'), select.POLLIN)
         return bool(poller.poll(0))
--- a/standins/soak_site.py
+++ b/standins/soak_site.py
@@ -45,6 +45,7 @@
     'surge',
     'pause',
     'kill',
+    'starve',
 )
 STORE_REFUSALS = ('503', '429', 'reset', 'silent')
 DRAIN_S = 2.0
@@ -304,6 +305,27 @@
             entry[2] = time.monotonic()
             self.stopping.discard(node)
 
+    async def stop_node(self, node, *, is_restarted=True):
+        """Stop a node; take its processor away for moments, if so chosen."""
+        if 'starve' not in self.troubles:
+            await super().stop_node(node, is_restarted=is_restarted)
+            return
+        starving = asyncio.ensure_future(self.starve(node.process))
+        await super().stop_node(node, is_restarted=is_restarted)
+        await starving
+
+    async def starve(self, process):
+        """Give a process no processor time for moments until it ends.
+
+        This counts as load, not as a disruption that excuses anything.
+        """
+        while process.returncode is None:
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self.rng.uniform(0.1, 0.35))
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+            await asyncio.sleep(self.rng.uniform(0.05, 0.3))
+
     async def refuse_nodes(self, until):
         """Let the store turn some nodes away for some seconds."""
         rng = self.rng
--- a/tests/test_call_server.py
+++ b/tests/test_call_server.py
@@ -222,8 +222,8 @@
 def test_request_that_lies_unread_is_answered_when_stopping():
     """Read what has come before an idle connection is closed.
 
-    A node that had no processor time closed the connections of requests that
-    it had not read, so that these had no answer.
+    A request that came after the event loop had read was discarded, and had no
+    answer.
     """
 
     async def work(app, server, reader, writer):
