Complete no answer by closing its connection oneself

Beside it a fault of the same class was found: an answer without a length ends with its connection, and the end that the node itself brings about, when it gives up a request whose body it cannot send on, counted as the server's.

Cause: a transport that is aborted reports no error. A connection that is given up completes no answer any more.

--- a/limpetshore/transport/http_client.py
+++ b/limpetshore/transport/http_client.py
@@ -59,6 +59,7 @@
         self.reader = ResponseReader()
         self.is_reusable = True
         self.is_disconnected = False
+        self.is_given_up = False
         self.has_unsolicited_bytes = False
         self.is_request_sent = True
         self.is_paused = False
@@ -106,7 +107,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Wake all waiters; a clean close may complete an answer."""
         self.is_disconnected = True
-        if error is None:
+        if error is None and not self.is_given_up:
             self.reader.finish()
         wake_waiter(self.read_waiter)
         wake_waiter(self.write_waiter)
@@ -312,8 +313,9 @@
         )
 
     def close(self) -> None:
-        """Close at once and discard unsent bytes."""
+        """Close at once; discard unsent bytes and the rest of an answer."""
         self.is_reusable = False
+        self.is_given_up = True
         self.transport.abort()
 
 
--- a/standins/soak_site.py
+++ b/standins/soak_site.py
@@ -432,7 +432,7 @@
                 asked = [(added, KEY, 404), (dropped, KEY, 200)]
                 asked += [('/stock/9', key, 401) for key in keys[-1:]]
                 for path, key, bad_status in asked:
-                    if path:
+                    if path and changed_at == self.changed_at:
                         await self.probe_one(node, path, key, bad_status)
             await self.probe_withdrawn(node)
 
--- a/tests/faulty_server.py
+++ b/tests/faulty_server.py
@@ -79,7 +79,10 @@
 
 
 def run_against_server(script, work, stall_s=0.3):
-    """Run `work` with a guard; the script lists what each request gets."""
+    """Run `work` with a guard; the script lists what each request gets.
+
+    None closes the connection.
+    """
     pieces = iter(script)
     writers = []
 
@@ -88,6 +91,9 @@
         try:
             while await reader.readuntil(b'\r\n\r\n'):
                 for piece in next(pieces, []):
+                    if piece is None:
+                        writer.close()
+                        return
                     if callable(piece):
                         await write_endlessly(writer, piece())
                         continue
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -115,6 +115,24 @@
     run_against_script([[head + b'part', None]], work)
 
 
+def test_answer_without_length_that_is_given_up_is_truncated():
+    """Take no end of a connection that this side closes for that of a body."""
+    head = b'HTTP/1.1 200 OK\r\n\r\n'
+
+    async def work(pool):
+        connection = await pool.acquire()
+        await connection.send_head(b'POST', b'/', HEADERS)
+        await connection.read_head(2)
+        assert await connection.read_chunk(2) == b'part'
+        reading = asyncio.ensure_future(connection.read_chunk(2))
+        await asyncio.sleep(0.01)
+        connection.close()
+        with pytest.raises(TruncatedError):
+            await reading
+
+    run_against_script([[head + b'part']], work)
+
+
 def test_bytes_that_are_not_http_are_an_error():
     """Raise ConnectionLostError for bytes that are not HTTP."""
 
--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -57,6 +57,30 @@
     assert outcome in {(RUN, RUN), (RUN, Verdict.MAY_HAVE_RUN)}
 
 
+@pytest.mark.parametrize(
+    'framing', [b'content-length: 4', b'transfer-encoding: chunked', b'x: y']
+)
+def test_head_that_breaks_off_is_no_answer(framing):
+    """Never forward a success of which the server sent half a head.
+
+    Callers of other systems got a 200 with an empty or short body.
+    """
+    lines = [
+        b'HTTP/1.1 200 OK',
+        wire.REQUEST_ID + b': one',
+        wire.SEAL + b': s',
+        framing,
+        b'\r\n',
+    ]
+    head = b'\r\n'.join(lines)
+    script = [[head[:cut], None] for cut in range(1, len(head))]
+
+    async def work(guard):
+        return {await send(guard, 'one') for _ in script}
+
+    assert run_against_server(script, work) == {Verdict.MAY_HAVE_RUN}
+
+
 def test_refused_request_is_sent_again_on_another_connection():
     """Use the connection of a refusal for other requests only.
 
