--- a/standins/soak.py
+++ b/standins/soak.py
@@ -159,7 +159,8 @@
                 f'Authorization: Bearer {self.key}',
                 f'Content-Length: {len(body)}',
             ]
-            writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
+            if not writer.transport.is_closing():
+                writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
             await send_slowly(writer, body, pause_s)
         statuses = []
         is_open = True
@@ -178,6 +179,8 @@
 async def send_slowly(writer, body, pause_s):
     """Send a body in pieces, with a pause after each."""
     for start in range(0, len(body), PIECE_BYTES):
+        if writer.transport.is_closing():
+            return
         writer.write(body[start : start + PIECE_BYTES])
         try:
             await writer.drain()
