Read each entry of a configuration by itself

CONFIG: a version that the platform had accepted was not active anywhere, and a key that it withdrew went on being taken, if one field of one entry was out of the usual (null or missing, a host with a port, a path of over 200 characters, a name with capitals, a rate above a million). Cause: the configuration was decoded as one record, with the limits of the project's own tickets.

Each route, customer and service is read and checked by itself now; null counts as left out, numbers are cut to their range, and what cannot be read is logged and left out while the rest is active.

--- a/limpetshore/checks.py
+++ b/limpetshore/checks.py
@@ -8,10 +8,12 @@
 Record = TypeVar('Record')
 
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
-Seconds = Annotated[float, msgspec.Meta(gt=0, le=86400)]
+MAX_SECONDS = 86400
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=MAX_SECONDS)]
+# Names of other programs, too: printable, without spaces, and not empty.
 Name = Annotated[
     str,
-    msgspec.Meta(pattern='^[a-z0-9][a-z0-9._-]{0,62}$'),
+    msgspec.Meta(pattern='^[A-Za-z0-9_][!-~]{0,199}$'),
 ]
 
 
--- a/limpetshore/platform/wire.py
+++ b/limpetshore/platform/wire.py
@@ -52,27 +52,31 @@
 
 
 class RouteEntry(msgspec.Struct):
-    """Represent one route; `attempts` includes the first send."""
+    """Represent one route; `attempts` includes the first send.
+
+    A route has either a service or a split. A field that is null counts as
+    left out, here and below.
+    """
 
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    target_ms: float
-    service: str = ''
-    split: list[SplitEntry] = []
-    priority: int = 0
-    attempts: int = 1
-    is_open: bool = False
+    timeout_ms: float | None = None
+    target_ms: float | None = None
+    service: str | None = None
+    split: list[SplitEntry] | None = None
+    priority: float | None = None
+    attempts: float | None = None
+    is_open: bool | None = None
 
 
 class CustomerEntry(msgspec.Struct):
-    """Represent one customer; a rate of zero means no limit."""
+    """Represent one customer; without a rate it has no limit."""
 
-    keys: list[str] = []
-    priority: int | None = None
-    rate: float = 0
-    burst: float = 0
+    keys: list[str] | None = None
+    priority: float | None = None
+    rate: float | None = None
+    burst: float | None = None
 
 
 class ServiceEntry(msgspec.Struct):
@@ -81,13 +85,19 @@
     health_path: str
 
 
+Entries = dict[str, msgspec.Raw]
+
+
 class Configuration(msgspec.Struct):
-    """Represent one version of the whole configuration."""
+    """Represent one version of the whole configuration.
+
+    Entries are decoded one by one, so that an odd one hides no other.
+    """
 
-    version: int
-    routes: dict[str, RouteEntry]
-    customers: dict[str, CustomerEntry] = {}
-    services: dict[str, ServiceEntry] = {}
+    routes: Entries
+    customers: Entries | None = None
+    services: Entries | None = None
+    version: int | float | str | None = None
 
 
 class ObjectMetadata(msgspec.Struct):
--- a/limpetshore/state/policies.py
+++ b/limpetshore/state/policies.py
@@ -24,8 +24,8 @@
 
 KeyHash = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
 Method = Annotated[str, msgspec.Meta(pattern=r'^([A-Z]{3,10}|\*)$')]
-HostName = Annotated[str, msgspec.Meta(pattern='^[a-z0-9.-]{0,253}$')]
-Path = Annotated[str, msgspec.Meta(pattern='^/[!-~]{0,200}$')]
+HostName = Annotated[str, msgspec.Meta(pattern='^[a-z0-9._*-]{0,253}$')]
+Path = Annotated[str, msgspec.Meta(pattern='^/[!-~]{0,8000}$')]
 
 
 ImportanceText = Annotated[
@@ -54,7 +54,7 @@
     """Give a service its relative share of the requests on a split route."""
 
     service: Name
-    weight: Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
+    weight: Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 
 
 class Route(NamedTuple):
