Give up no overdue attempt without another server to ask

Callers got 502 or 500 for calls that a server was at work on: while the other servers of their service restarted, an attempt that was late was given up, its work cancelled, and the request sent to the same server again or refused by the others.

An attempt is now given up only if a server is known that is neither tried nor ejected. test_overdue_attempt_is_given_up_only_for_another_server failed before.

--- a/limpetshore/routing/attempts.py
+++ b/limpetshore/routing/attempts.py
@@ -150,13 +150,17 @@
     def may_retry_elsewhere(self) -> bool:
         """Tell whether an overdue attempt may be retried at another server.
 
-        A node that is leaving keeps waiting for its outstanding answers.
+        A node that is leaving keeps waiting for its outstanding answers, and
+        so does one that knows no other server: the attempt would be given up
+        for nothing.
         """
+        if not self.is_repeatable or self.state.guard.is_leaving:
+            return False
+        service = self.call.service
         return (
-            self.is_repeatable
-            and not self.state.guard.is_leaving
-            and self.call.origin.budget.remaining > 0
-            and self.state.retry_tokens[self.call.service].tokens >= 1
+            self.call.origin.budget.remaining > 0
+            and self.state.retry_tokens[service].tokens >= 1
+            and self.state.balancer.has_untried(service, self.tried)
         )
 
     def spend_retry(self, reason: Reason) -> bool:
