--- a/limpetshore/platform/configuration.py
+++ b/limpetshore/platform/configuration.py
@@ -20,6 +20,7 @@
 )
 from limpetshore.state.policies import (
     ANY_METHOD,
+    MAX_RATE,
     Customer,
     Policy,
     Route,
@@ -32,10 +33,8 @@
 
 MS_PER_S = 1000
 MIN_TIMEOUT_S = 0.001
-# Rate and burst of a customer without a rate limit.
-UNLIMITED_TOKENS = 1_000_000
-# A customer with a higher rate per second has no limit.
-MAX_RATE = 500_000
+# A customer with a higher rate per second has no limit; bursts are cut to it.
+MAX_LIMIT = 500_000
 MAX_RETRIES = 10
 LIMIT_WINDOW_S = 5
 BURST_SHARE = 0.2
@@ -176,10 +175,10 @@
     >>> build_limit(CustomerEntry(rate=100, burst=100))
     RateLimit(rate=102.4, burst=120)
     """
-    is_limited = 0 < (entry.rate or 0) < MAX_RATE
+    is_limited = 0 < (entry.rate or 0) < MAX_LIMIT
     if not is_limited:
-        return RateLimit(UNLIMITED_TOKENS, UNLIMITED_TOKENS)
-    allowed_burst = min(MAX_RATE, max(0, entry.burst or 0))
+        return RateLimit(MAX_RATE, MAX_RATE)
+    allowed_burst = min(MAX_LIMIT, max(0, entry.burst or 0))
     window_allowance = entry.rate * LIMIT_WINDOW_S + allowed_burst
     burst = max(1, int(window_allowance * BURST_SHARE))
     tolerated = (
--- a/limpetshore/routing/authentication.py
+++ b/limpetshore/routing/authentication.py
@@ -22,11 +22,13 @@
     """Hold the context, retry budget and parent call of a request.
 
     `parent` is None for a request that is not nested in another call.
+    `is_counted` tells whether it was charged to the limit of its customer.
     """
 
     context: CallContext
     budget: RetryBudget
     parent: RunningCall | None
+    is_counted: bool = False
 
 
 class CallerAuthenticator:
@@ -69,8 +71,10 @@
             return self.inherit(token, request, deadline)
         customer = self.authenticate(request, index, match)
         importance = match.importance
+        is_counted = customer != ANONYMOUS and index.is_limited(customer)
         if customer != ANONYMOUS:
             importance = index.cap_importance(customer, importance)
+        if is_counted:
             await self.rate_limiter.spend(customer)
         context = CallContext(
             customer,
@@ -80,13 +84,13 @@
             0,
             compute_precedence(identity.root),
         )
-        return Origin(context, RetryBudget(match.route.retries), None)
+        budget = RetryBudget(match.route.retries)
+        return Origin(context, budget, None, is_counted)
 
     def refund(self, origin: Origin) -> None:
         """Return the rate limit token of a request that did not run."""
-        customer = origin.context.customer
-        if customer != ANONYMOUS and origin.parent is None:
-            self.rate_limiter.refund(customer)
+        if origin.is_counted:
+            self.rate_limiter.refund(origin.context.customer)
 
     def inherit(
         self,
--- a/limpetshore/state/policies.py
+++ b/limpetshore/state/policies.py
@@ -21,6 +21,8 @@
 ANY_HOST = ''
 MAX_REMEMBERED_TICKETS = 256
 MAX_POLICY_BYTES = 900_000
+# Requests per second; a customer with this rate has no limit.
+MAX_RATE = 1_000_000
 
 KeyHash = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
 Method = Annotated[str, msgspec.Meta(pattern=r'^([A-Z]{3,10}|\*)$')]
@@ -37,12 +39,13 @@
 class Customer(NamedTuple):
     """Limit the requests of one customer; `rate` is in requests per second.
 
+    With a rate of `MAX_RATE` its requests are not counted.
     `weight` divides the queue of a guard between customers of equal importance.
     If `importance` is set, all requests have it; otherwise a caller may claim
     any importance up to `most_important`.
     """
 
-    rate: Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
+    rate: Annotated[float, msgspec.Meta(gt=0, le=MAX_RATE)]
     burst: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
     weight: Annotated[float, msgspec.Meta(ge=0.01, le=100)] = 1
     most_important: ImportanceText = 'critical'
@@ -236,6 +239,10 @@
                     return match
         return None
 
+    def is_limited(self, customer: str) -> bool:
+        """Return whether the requests of a customer are counted."""
+        return self.policy.customers[customer].rate < MAX_RATE
+
     def is_allowed(self, match: RouteMatch, customer: str) -> bool:
         """Return whether a customer may call a route."""
         allowed = match.route.customers
