--- a/limpetshore/cli.py
+++ b/limpetshore/cli.py
@@ -21,10 +21,10 @@
 )
 from limpetshore.metrics import Metrics
 from limpetshore.settings import (
-    describe_settings,
     load_settings,
     parse_address,
 )
+from limpetshore.settings_reference import describe_settings
 from limpetshore.state.policies import Customer, Policy, hash_key, issue_key
 from limpetshore.state.store import HttpObjectStore, ObjectStore
 from limpetshore.state.tickets import Ticket, TicketOutcome, load_ticket
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,8 +8,8 @@
 from limpetshore.settings import (
     FleetSection,
     check_settings,
-    describe_settings,
 )
+from limpetshore.settings_reference import describe_settings
 
 REFERENCE = Path(__file__).parent.parent / 'docs' / 'settings.md'
 
