--- a/bench/transports.py
+++ b/bench/transports.py
@@ -10,7 +10,8 @@
 from grpc import aio
 
 from standins.asgi_server import AsgiServer
-from limpetshore.transport.http_client import Address, HttpPool
+from limpetshore.transport.http_client import Address
+from limpetshore.transport.http_pool import HttpPool
 
 BODY = b'x' * 1024
 CALL_COUNT = 3000
--- a/limpetshore/platform/health.py
+++ b/limpetshore/platform/health.py
@@ -9,7 +9,8 @@
 from limpetshore.protocol.messages import get_header
 from limpetshore.settings import BackendSection, parse_address
 from limpetshore.state.policies import ServiceRecord
-from limpetshore.transport.http_client import Address, HttpPool
+from limpetshore.transport.http_client import Address
+from limpetshore.transport.http_pool import HttpPool
 
 logger = Logger(__name__)
 
--- a/limpetshore/protocol/control.py
+++ b/limpetshore/protocol/control.py
@@ -25,7 +25,8 @@
     encode,
 )
 from limpetshore.transport.call_server import CallApp
-from limpetshore.transport.http_client import Address, HttpConnection, HttpPool
+from limpetshore.transport.http_client import Address, HttpConnection
+from limpetshore.transport.http_pool import HttpPool
 from limpetshore.transport.server_request import ServerRequest
 
 logger = Logger(__name__)
--- a/limpetshore/routing/guard.py
+++ b/limpetshore/routing/guard.py
@@ -19,7 +19,7 @@
 from limpetshore.state.backends import LocalBackend
 from limpetshore.state.deduplication import RequestDeduplicator
 from limpetshore.state.fencing import FencingState
-from limpetshore.transport.http_client import HttpPool
+from limpetshore.transport.http_pool import HttpPool
 from limpetshore.verdicts import Refusal
 
 ANNOUNCED_LIMIT = 'announced'
--- a/limpetshore/routing/ingress_state.py
+++ b/limpetshore/routing/ingress_state.py
@@ -21,7 +21,7 @@
 from limpetshore.settings import NodeSettings, parse_address
 from limpetshore.state.fencing import FencingState
 from limpetshore.state.policies import PolicyIndex
-from limpetshore.transport.http_client import HttpPool
+from limpetshore.transport.http_pool import HttpPool
 
 AnswerCallback = Callable[[AnswerMeta, NodeState, float], None]
 
--- a/limpetshore/routing/peer_calls.py
+++ b/limpetshore/routing/peer_calls.py
@@ -38,8 +38,8 @@
 from limpetshore.transport.http_client import (
     Address,
     HttpConnection,
-    HttpPool,
 )
+from limpetshore.transport.http_pool import HttpPool
 from limpetshore.transport.responses import ResponseHead
 from limpetshore.verdicts import Reason, Refusal, Verdict
 
--- a/limpetshore/state/store.py
+++ b/limpetshore/state/store.py
@@ -15,7 +15,8 @@
     TransportError,
 )
 from limpetshore.metrics import Metrics
-from limpetshore.transport.http_client import Address, HttpPool
+from limpetshore.transport.http_client import Address
+from limpetshore.transport.http_pool import HttpPool
 from limpetshore.transport.responses import Headers
 
 MUST_NOT_EXIST = 0
--- a/limpetshore/transport/http_client.py
+++ b/limpetshore/transport/http_client.py
@@ -1,9 +1,8 @@
 """Send HTTP/1.1 requests over pooled connections, one at a time on each."""
 
 import asyncio
-import contextlib
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import Callable
 from typing import NamedTuple
 
 import anyio
@@ -71,7 +70,7 @@
         self.request_count = 0
         self.deadline = clock.NO_DEADLINE
         self.refused_ids: set[str] = set()
-        self.pool: HttpPool | None = None
+        self.on_received: Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit how long sent bytes may stay unacknowledged."""
@@ -91,8 +90,8 @@
             self.has_unsolicited_bytes = True  # no request is open
             self.transport.abort()
             return
-        if self.pool is not None:
-            self.pool.last_received_at = clock.now()
+        if self.on_received is not None:
+            self.on_received()
         reader = self.reader
         try:
             reader.feed(received)
@@ -347,58 +346,3 @@
     except (OSError, TimeoutError, OverflowError) as error:
         raise ConnectError(f'cannot connect to {address}: {error}') from error
     return connection
-
-
-class HttpPool:
-    """Keep idle connections to one address; reuse the last released first."""
-
-    def __init__(
-        self,
-        address: Address,
-        max_idle_s: float,
-        connect_s: float = CONNECT_TIMEOUT_S,
-    ) -> None:
-        """Set how long a connection may stay idle and may take to open."""
-        self.address = address
-        self.max_idle_s = max_idle_s
-        self.connect_s = connect_s
-        self.last_received_at = float('-inf')
-        self.idle: list[HttpConnection] = []
-
-    async def acquire(self, max_idle_s: float | None = None) -> HttpConnection:
-        """Return an idle connection that is still usable, or a new one."""
-        if max_idle_s is None:
-            max_idle_s = self.max_idle_s
-        idle_cutoff = clock.now() - max_idle_s
-        while self.idle:
-            connection = self.idle.pop()
-            if connection.idle_since >= idle_cutoff and connection.is_usable():
-                return connection
-            connection.close()
-        connection = await connect(self.address, self.connect_s)
-        connection.pool = self
-        self.last_received_at = clock.now()
-        return connection
-
-    def release(self, connection: HttpConnection) -> None:
-        """Keep the connection if it can be reused, else close it."""
-        connection.deadline = clock.NO_DEADLINE
-        if connection.is_reusable:
-            connection.idle_since = clock.now()
-            self.idle.append(connection)
-        else:
-            connection.close()
-
-    @contextlib.asynccontextmanager
-    async def connection(self) -> AsyncIterator[HttpConnection]:
-        """Acquire a connection and release it at the end of the block."""
-        connection = await self.acquire()
-        try:  # noqa: WPS501
-            yield connection
-        finally:
-            self.release(connection)
-
-    def close_idle(self) -> None:
-        """Close all idle connections, after one to this address went silent."""
-        while self.idle:
-            self.idle.pop().close()
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from limpetshore.transport.http_client import HttpPool
+from limpetshore.transport.http_pool import HttpPool
 
 
 class BackendApp:
--- a/standins/load_sender.py
+++ b/standins/load_sender.py
@@ -8,7 +8,7 @@
 
 from limpetshore.errors import ConnectError, TransportError
 from limpetshore.settings import parse_address
-from limpetshore.transport.http_client import HttpPool
+from limpetshore.transport.http_pool import HttpPool
 
 
 class LoadStats:
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -15,7 +15,8 @@
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 from limpetshore.transport.call_server import CallApp, CallServer
-from limpetshore.transport.http_client import Address, HttpPool
+from limpetshore.transport.http_client import Address
+from limpetshore.transport.http_pool import HttpPool
 
 ROOT = Path(__file__).parent.parent
 KEY = 'k9x2mmd81abzq0rt5wvu'
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -18,7 +18,7 @@
 
 import anyio
 
-from limpetshore.transport.http_client import HttpPool
+from limpetshore.transport.http_pool import HttpPool
 from standins.platform_fleet import (
     HOST,
     KEY,
--- a/tests/test_answer_deadlines.py
+++ b/tests/test_answer_deadlines.py
@@ -18,7 +18,8 @@
 )
 from limpetshore.routing.guard_exchange import GuardExchange
 from limpetshore.routing.peer_calls import PeerExchange
-from limpetshore.transport.http_client import Address, HttpPool
+from limpetshore.transport.http_client import Address
+from limpetshore.transport.http_pool import HttpPool
 from limpetshore.verdicts import Reason
 from standins.local_fleet import LocalFleet, wait_until
 from tests.builders import LAYOUT, SHORT_FLEET_PERIODS, build_ticket_tables
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -22,7 +22,7 @@
 )
 from limpetshore.settings import parse_address
 from limpetshore.transport.call_server import CallServer
-from limpetshore.transport.http_client import HttpPool
+from limpetshore.transport.http_pool import HttpPool
 from tests.support import LOOPBACK_HOST
 
 ADDRESS = f'{LOOPBACK_HOST}:7002'
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -8,7 +8,8 @@
 import pytest
 
 from limpetshore.errors import ConnectionLostError, TruncatedError
-from limpetshore.transport.http_client import Address, HttpPool
+from limpetshore.transport.http_client import Address
+from limpetshore.transport.http_pool import HttpPool
 from tests.support import LOOPBACK_HOST
 
 ADDRESS = Address(LOOPBACK_HOST, 7412)
