Let the soak of a site notice wrong shares and late ends

With the splitter of the product broken on purpose (always the first part) and the timeout of routes left out, the soak found nothing: too few requests on the split route, and work that ended within the bound. One caller a node sends there at a steady rate now, and slow work takes 2.5 s.

--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -221,7 +221,7 @@
             for at, request_id, arrival in self.arrivals
             if find_prefix(arrival.path) == '/split/'
             and since < at < until
-            and request_id.startswith('c')
+            and request_id.startswith('q')
         )
         total = counts.total()
         if total < MIN_SPLIT_COUNT:
--- a/standins/soak_site.py
+++ b/standins/soak_site.py
@@ -49,9 +49,11 @@
 )
 STORE_REFUSALS = ('503', '429', 'reset', 'silent')
 DRAIN_S = 2.0
-SLOW_WORK_MS = 1200
+SLOW_WORK_MS = 2500
 SLOW_TIMEOUTS_MS = (400, 700, 1000)
 LAG_PERIOD_S = 0.02
+# Of the requests on the split route, over the whole fleet.
+SPLIT_PER_S = 150
 SPLIT_WEIGHTS = ((90, 10), (50, 50), (60, 40), (75, 25), (30, 70))
 MAX_EXTRA_ROUTES = 350
 
@@ -107,9 +109,9 @@
             for node in self.fleet.nodes
             for index in range(self.callers)
         ]
-        load += [
-            self.send_alone(node, until + GRACE_S) for node in self.fleet.nodes
-        ]
+        for node in self.fleet.nodes:
+            load.append(self.send_alone(node, until + GRACE_S))
+            load.append(self.send_split(node, until))
         probes = [self.probe_routes(node, until) for node in self.fleet.nodes]
         plays = {
             'stop': [self.stop_nodes(until), self.stop_nodes(until)],
@@ -212,10 +214,28 @@
             return [('DELETE', '/pour/1?work=72', 1)]
         if kind < 75:
             return [('GET', f'/slow/1?work={SLOW_WORK_MS}', 5)]
-        if kind < 90:
-            return [('GET', '/split/1?work=5', 5)]
         return [('GET', '/move/1?work=5', 5)]
 
+    async def send_split(self, node, until):
+        """Send requests on the split route at a steady rate."""
+        kept = KeptConnection(self.record, node, 'q')
+        period_s = len(self.fleet.nodes) / SPLIT_PER_S
+        while time.monotonic() < until:
+            try:
+                reader, writer = await asyncio.open_connection(
+                    *node.address(8548)
+                )
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            is_open = True
+            while is_open and time.monotonic() < until:
+                await asyncio.sleep(period_s * self.rng.uniform(0.5, 1.5))
+                _, is_open = await kept.exchange(
+                    reader, writer, [('GET', '/split/1?work=5', 2)]
+                )
+            writer.transport.abort()
+
     async def send_alone(self, node, until):
         """Send each request on a connection of its own, with a slow body."""
         while time.monotonic() < until:
