--- a/bench/handling.py
+++ b/bench/handling.py
@@ -22,7 +22,7 @@
 from limpetshore.state.members import Status
 from limpetshore.state.policies import Customer, PolicyIndex, Route, hash_key
 from limpetshore.transport import http_client
-from limpetshore.transport.call_server import ServerConnection
+from limpetshore.transport.server_connection import ServerConnection
 from limpetshore.transport.http_client import HttpConnection
 from tests.builders import KEY, build_node_state, build_policy
 
--- a/limpetshore/admin.py
+++ b/limpetshore/admin.py
@@ -8,7 +8,7 @@
 from limpetshore.metrics import Metrics
 from limpetshore.routing.guard import Guard
 from limpetshore.state.backends import parse_announcement
-from limpetshore.transport.call_server import CallApp
+from limpetshore.transport.server_connection import CallApp
 from limpetshore.transport.server_request import ServerRequest
 
 MAX_ANNOUNCEMENT_BYTES = 4096
--- a/limpetshore/platform/heartbeats.py
+++ b/limpetshore/platform/heartbeats.py
@@ -10,7 +10,7 @@
 from limpetshore.routing.local_server import HeartbeatOrder, LocalServer
 from limpetshore.settings import CallSection
 from limpetshore.state.backends import Announcement
-from limpetshore.transport.call_server import CallApp
+from limpetshore.transport.server_connection import CallApp
 from limpetshore.transport.server_request import ServerRequest
 
 logger = Logger(__name__)
--- a/limpetshore/platform/integration.py
+++ b/limpetshore/platform/integration.py
@@ -12,7 +12,8 @@
 from limpetshore.routing.local_server import LocalServer
 from limpetshore.settings import NodeSettings, parse_address
 from limpetshore.state.store import HttpStoreClient, ObjectStore
-from limpetshore.transport.call_server import CallApp, CallServer
+from limpetshore.transport.call_server import CallServer
+from limpetshore.transport.server_connection import CallApp
 from limpetshore.transport.server_request import ServerRequest
 
 GRACEFUL_STOP_S = 1
--- a/limpetshore/protocol/control.py
+++ b/limpetshore/protocol/control.py
@@ -24,7 +24,7 @@
     LendRequest,
     encode,
 )
-from limpetshore.transport.call_server import CallApp
+from limpetshore.transport.server_connection import CallApp
 from limpetshore.transport.http_client import Address, HttpConnection
 from limpetshore.transport.http_pool import HttpPool
 from limpetshore.transport.server_request import ServerRequest
--- a/limpetshore/routing/ingress.py
+++ b/limpetshore/routing/ingress.py
@@ -25,7 +25,7 @@
 from limpetshore.routing.attempts import Attempts, RoutedCall
 from limpetshore.routing.authentication import ANONYMOUS
 from limpetshore.routing.ingress_state import IngressState
-from limpetshore.transport.call_server import CallApp
+from limpetshore.transport.server_connection import CallApp
 from limpetshore.transport.responses import Headers
 from limpetshore.transport.server_request import ServerRequest
 from limpetshore.verdicts import Reason, Refusal, Verdict
--- a/limpetshore/routing/peer_app.py
+++ b/limpetshore/routing/peer_app.py
@@ -30,7 +30,7 @@
 from limpetshore.routing.guard_exchange import GuardExchange
 from limpetshore.routing.peer_calls import PROBE_PATH
 from limpetshore.routing.relaying import relay_answer
-from limpetshore.transport.call_server import CallApp
+from limpetshore.transport.server_connection import CallApp
 from limpetshore.transport.responses import Headers
 from limpetshore.transport.server_request import ServerRequest
 from limpetshore.verdicts import Reason, Refusal
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -14,7 +14,8 @@
 from pathlib import Path
 from urllib.parse import parse_qsl, unquote, urlsplit
 
-from limpetshore.transport.call_server import CallApp, CallServer
+from limpetshore.transport.call_server import CallServer
+from limpetshore.transport.server_connection import CallApp
 from limpetshore.transport.http_client import Address
 from limpetshore.transport.http_pool import HttpPool
 
--- a/tests/test_call_server.py
+++ b/tests/test_call_server.py
@@ -6,7 +6,8 @@
 import anyio
 import pytest
 
-from limpetshore.transport.call_server import CallApp, CallServer
+from limpetshore.transport.call_server import CallServer
+from limpetshore.transport.server_connection import CallApp
 from limpetshore.transport.http_client import Address
 from tests.support import LOOPBACK_HOST
 
