--- a/limpetshore/transport/call_server.py
+++ b/limpetshore/transport/call_server.py
@@ -15,6 +15,8 @@
 KEEP_ALIVE_TIMEOUT_S = 75.0
 SWEEP_INTERVAL_S = 5.0
 STOP_POLL_INTERVAL_S = 0.05
+# Who has just connected, or heard an answer, may be about to send.
+IDLE_GRACE_S = 0.1
 LISTEN_BACKLOG = 2048
 
 
@@ -85,8 +87,10 @@
         """Close connections as they become idle, for at most `graceful_s`."""
         deadline = clock.now() + self.graceful_s
         while self.connections and clock.now() < deadline:
+            idle_before = clock.now() - IDLE_GRACE_S
             for connection in list(self.connections):
-                connection.close_idle()
+                if connection.idle_since <= idle_before:
+                    connection.close_idle()
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
 
     async def sweep(self) -> None:
