--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -126,7 +126,8 @@
 @pytest.mark.parametrize('rate', [b'1e308', b'1e999', b'-1', b'"many"'])
 def test_customer_with_an_odd_number_hides_no_other(rate):
     """Use the rest of a configuration; raise no error that ends the reading."""
-    customers = {'harbour': {'rate': None}, 'quarry': {'keys': ['k']}}
+    harbour = {'rate': None, 'burst': None}
+    customers = {'harbour': harbour, 'quarry': {'keys': ['k']}}
     encoded = msgspec.json.encode({**CONFIGURATION, 'customers': customers})
     policy = convert_and_decode(encoded.replace(b'null', rate))
     assert policy.routes
