Accept callers that are gone by then without an error

A caller that resets its connection before it is accepted has no address any more; connection_made raised a TypeError, which was printed as a traceback beside the log, and the connection was not tracked. Found while looking at what the accepting of waiting connections does with those; the same happens in a plain accept. tests/test_call_server.py gone_before: failed before for connections that wait as the port closes.

--- a/limpetshore/transport/server_connection.py
+++ b/limpetshore/transport/server_connection.py
@@ -77,7 +77,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit how long sent bytes may stay unacknowledged."""
         self.transport = transport
-        self.peer_host = transport.get_extra_info('peername')[0]
+        # A caller that has already reset the connection has no name.
+        peer_name = transport.get_extra_info('peername') or ('', 0)
+        self.peer_host = peer_name[0]
         transport.get_extra_info('socket').setsockopt(
             socket.IPPROTO_TCP,
             socket.TCP_USER_TIMEOUT,
--- a/tests/test_call_server.py
+++ b/tests/test_call_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 
 import anyio
 import pytest
@@ -16,6 +17,7 @@
 SLOW_PATH = '/slow'
 BIG_PATH = '/big'
 BIG_BYTES = 4_000_000
+RESET_AT_CLOSE = struct.pack('ii', 1, 0)
 # Its answer begins before `release` and ends after it.
 BEGUN_PATH = '/begun'
 
@@ -267,6 +269,25 @@
     assert run(work).endswith(b'/first')
 
 
+@pytest.mark.parametrize('is_stopped', [False, True])
+def test_caller_that_is_gone_before_it_is_accepted_is_no_error(is_stopped):
+    """Raise no unexpected error for a connection that was reset at once."""
+    errors = []
+
+    async def work(app, server, reader, writer):
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        gone = socket.create_connection(ADDRESS)
+        gone.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        gone.close()
+        if is_stopped:
+            server.stop()
+        await asyncio.sleep(0.05)
+
+    run(work)
+    assert not errors
+
+
 def test_request_that_lies_unread_is_answered_after_an_idle_time():
     """Read what has come before a connection counts as idle for too long."""
 
