--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,7 +33,7 @@
     assert '"broken": 0' in done.stdout
 
 
-# Seed 3: a node ended by a second SIGTERM, with single requests of callers.
+# Seed 3 starved and with 10 nodes: a second SIGTERM cut single requests.
 SITE_SEEDS = [3]
 
 
