Name the clause that excuses each request without a whole answer

The checks of the soak judged 502 and 504 only, skipped requests that the server had answered and excused the last tenth of the time, and 10 ms before a timeout.

What has no clause is reported; the others are counted by clause. find_given_up and is_lost are replaced by this one check, which excuses nothing that they did not.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -169,6 +169,9 @@
         # Time at which each request began and ended here, None while it runs.
         self.runs = {}
         self.ends = {}
+        # What was received, by request, and the status of each whole answer.
+        self.arrivals = []
+        self.answered = {}
         # Time at which a node acknowledged that this server leaves.
         self.drained_at = None
 
--- a/standins/site_servers.py
+++ b/standins/site_servers.py
@@ -70,9 +70,6 @@
         self.slots = found[0].slots if found else self.slots
         self.free = asyncio.Semaphore(self.slots)
         self.waiting = 0
-        self.arrivals = []
-        # Status of each request that was answered whole.
-        self.answered = {}
 
     async def serve(self, request):
         """Answer one request, or a health check."""
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -14,6 +14,7 @@
 import signal
 import sys
 import time
+from collections import Counter
 from typing import NamedTuple
 
 import anyio
@@ -26,16 +27,12 @@
     build_configuration,
     build_route,
 )
+from standins.soak_clauses import GRACE_S, ServerSide, judge
 
 SERVICES = ('front', 'stock')
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 APPLY_S = 2.0
-GRACE_S = 6.0
 IN_TOUCH_S = 3.0
-LOSS_SLACK_S = 0.2
-# A SIGTERM excuses what was sent this soon after it and still ran late.
-EXCUSED_SENT_S = 3.0
-LATE_SHARE = 5 / 6
 MAX_DOWN_S = 2.0
 PROBE_PERIOD_S = 0.1
 PIECE_BYTES = 16384
@@ -56,12 +53,16 @@
 
 
 class Outcome(NamedTuple):
-    """Describe what became of a request; `status` is 0 without an answer."""
+    """Describe what became of a request; `status` is 0 without an answer.
+
+    `is_sealed` tells that the answer is that of a server.
+    """
 
     sent: Sent
     status: int
     is_whole: bool
     ended_at: float
+    is_sealed: bool = False
 
 
 class Planned(NamedTuple):
@@ -168,13 +169,15 @@
         statuses = []
         is_open = True
         for one in sent:
-            status, is_whole = 0, False
+            status, is_whole, is_sealed = 0, False, False
             if is_open:
-                status, is_whole, is_open = await read_answer(reader, one)
+                status, is_whole, is_open, is_sealed = await read_answer(
+                    reader, one
+                )
             statuses.append(status)
             if is_judged:
                 self.record.outcomes.append(
-                    Outcome(one, status, is_whole, time.monotonic())
+                    Outcome(one, status, is_whole, time.monotonic(), is_sealed)
                 )
         return statuses, is_open
 
@@ -193,8 +196,9 @@
 
 
 async def read_answer(reader, sent):
-    """Return the status, whether the answer is whole, and is kept open."""
+    """Return status, whether it is whole, is kept open, and is a server's."""
     status = 0
+    is_sealed = False
     try:
         async with asyncio.timeout(sent.timeout_s + 1):
             head = await reader.readuntil(b'\r\n\r\n')
@@ -203,13 +207,15 @@
             headers = dict(
                 line.split(': ', 1) for line in lines[1:] if ': ' in line
             )
+            is_sealed = 'limpetshore-response-seal' in headers
             if 'content-length' in headers:
                 await reader.readexactly(int(headers['content-length']))
             else:
                 await read_chunks(reader)
     except (OSError, asyncio.IncompleteReadError, TimeoutError):
-        return status, False, False
-    return status, True, headers.get('connection') != 'close'
+        return status, False, False, is_sealed
+    is_open = headers.get('connection') != 'close'
+    return status, True, is_open, is_sealed
 
 
 async def read_chunks(reader):
@@ -241,6 +247,7 @@
         self.changed_at = 0
         self.changed_before_at = 0
         self.stopping = set()
+        self.clauses = Counter()
 
     async def run(self):
         """Play the seed; return the broken promises."""
@@ -484,55 +491,59 @@
 
     def check_outcomes(self):
         """Check each request against what the servers ran."""
-        runs, ends = {}, {}
+        servers = self.collect_servers()
+        runs = {}
         for server in self.fleet.servers:
             for request_id, times in server.runs.items():
                 runs.setdefault(request_id, []).extend(times)
-            ends.update(server.ends)
         for outcome in self.record.outcomes:
-            self.check_outcome(outcome, runs, ends)
+            self.check_runs(outcome, len(runs.get(outcome.sent.request_id, ())))
+            loss = judge(
+                outcome, self.find_limit_s(outcome.sent), servers, self
+            )
+            if loss is not None:
+                self.count_loss(outcome, loss)
+
+    def collect_servers(self):
+        """Return what all servers recorded."""
+        arrived, ends, answered = {}, {}, {}
+        for server in self.fleet.servers:
+            arrived.update(
+                (request_id, times[0])
+                for request_id, times in server.runs.items()
+            )
+            # One that finds no place in the queue arrives without a run.
+            arrived.update((one, it.at) for one, it in server.arrivals)
+            ends.update(server.ends)
+            answered.update(server.answered)
+        return ServerSide(arrived, ends, answered)
 
-    def check_outcome(self, outcome, runs, ends):
-        """Check that a request has a whole and true answer, and ran once."""
+    def find_limit_s(self, sent):
+        """Return the seconds after which a request may end without answer."""
+        return sent.timeout_s
+
+    def check_runs(self, outcome, count):
+        """Check that a request that may not be repeated ran once at most."""
         sent = outcome.sent
-        count = len(runs.get(sent.request_id, ()))
-        broken = self.record.broken
         if not sent.is_repeatable and count > 1:
-            broken.append(f'TWICE: {sent.request_id} ran {count} times')
-        if not sent.is_repeatable and count and outcome.status in {429, 503}:
-            broken.append(f'REFUSED: {sent.request_id} ran')
-        if not outcome.is_whole and self.is_lost(outcome, runs, ends):
-            term_at = self.record.find_sigterm(
-                sent.node, sent.sent_at, outcome.ended_at
+            self.record.broken.append(
+                f'TWICE: {sent.request_id} ran {count} times'
             )
-            since = round(sent.sent_at - term_at, 3) if term_at else None
-            broken.append(
-                f'LOST: {sent.request_id} at {sent.node}, {since} s after '
-                f'its SIGTERM, ended after '
-                f'{outcome.ended_at - sent.sent_at:.3f} s, '
-                f'status {outcome.status}, ran {count}, first {sent.is_first}'
+        if not sent.is_repeatable and count and outcome.status in {429, 503}:
+            self.record.broken.append(f'REFUSED: {sent.request_id} ran')
+
+    def count_loss(self, outcome, loss):
+        """Count a loss by its clause; report one that no clause excuses."""
+        self.clauses[loss.clause] += 1
+        if loss.clause is None:
+            sent = outcome.sent
+            kind = 'given up' if outcome.is_whole else 'cut'
+            self.record.broken.append(
+                f'LOST: {sent.request_id} {sent.path} at {sent.node}, {kind}, '
+                f'status {outcome.status}, first {sent.is_first}: '
+                f'{loss.describe()}'
             )
 
-    def is_lost(self, outcome, runs, ends):
-        """Tell whether a request without a whole answer counts as lost."""
-        sent = outcome.sent
-        if self.is_disrupted(sent.sent_at, outcome.ended_at):
-            return False
-        took_s = outcome.ended_at - sent.sent_at
-        if took_s >= sent.timeout_s:
-            return False
-        has_run = sent.request_id in runs
-        waited_s = outcome.ended_at - self.record.whole_at[sent.request_id]
-        if not has_run and (not sent.is_first or waited_s <= LOSS_SLACK_S):
-            return False
-        term_at = self.record.find_sigterm(
-            sent.node, sent.sent_at, outcome.ended_at
-        )
-        if term_at is None or sent.sent_at > term_at + EXCUSED_SENT_S:
-            return True
-        ended_at = ends.get(sent.request_id, outcome.ended_at)
-        return ended_at < term_at + LATE_SHARE * GRACE_S
-
 
 async def play_seed(seed, seconds, count, has_kills):
     """Play a seed and print what was seen; return the broken promises."""
@@ -549,6 +560,7 @@
             planned.signal == signal.SIGTERM for planned in soak.record.planned
         ),
         'kills': len(soak.killed_at) // 2,
+        'losses': {str(key): count for key, count in soak.clauses.items()},
         'broken': len(broken),
         'logs': str(soak.fleet.folder),
     }
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -14,8 +14,6 @@
 MAX_SPLIT_OFFSET = 0.2
 MAX_DENIED_COUNT = 5
 MAX_DENIED_SHARE = 1 / 500
-# So much of its time a request may have used when it is given up.
-USED_SHARE = 0.9
 ROUTES = {
     '/stock/': {'stock'},
     '/hold/': {'holds'},
@@ -35,7 +33,6 @@
 }
 DEFAULT_TIMEOUT_S = 5
 OPEN_ROUTES = frozenset(('/ledger/', '/index/', '/roster/'))
-FAILURES = frozenset((502, 504))
 
 
 class Version(NamedTuple):
@@ -79,17 +76,11 @@
             for server in soak.fleet.servers
             for request_id, arrival in server.arrivals
         )
-        self.answered = {}
-        self.ends = {}
-        for server in soak.fleet.servers:
-            self.answered.update(server.answered)
-            self.ends.update(server.ends)
         self.service_of = {node.name: node.service for node in soak.fleet.nodes}
 
     def run(self):
         """Return a line for each broken promise."""
         self.check_arrivals()
-        self.check_given_up()
         self.check_timeouts()
         self.check_splits()
         self.check_denied()
@@ -154,32 +145,6 @@
                 allowed.add(version.moved_to)
         return allowed
 
-    def check_given_up(self):
-        """Check that no node replaces the answer of a server at work.
-
-        Only around the SIGTERM of the node that took the request.
-        """
-        for outcome in self.record.outcomes:
-            sent = outcome.sent
-            took_s = outcome.ended_at - sent.sent_at
-            is_early = took_s < USED_SHARE * find_timeout(
-                sent, self.soak.versions
-            )
-            if outcome.status not in FAILURES or not is_early:
-                continue
-            if self.soak.is_disrupted(sent.sent_at, outcome.ended_at):
-                continue
-            term_at = self.record.find_sigterm(
-                sent.node, sent.sent_at, outcome.ended_at
-            )
-            ended_at = self.ends.get(sent.request_id)
-            if term_at and ended_at and sent.request_id not in self.answered:
-                self.broken.append(
-                    f'LOST: {sent.request_id} {sent.path} at {sent.node} was '
-                    f'given up with {outcome.status} after {took_s:.3f} s, '
-                    f'{sent.sent_at - term_at:.3f} s after its SIGTERM'
-                )
-
     def check_timeouts(self):
         """Check that requests end half a second after their route's timeout."""
         overdue = late = 0
--- a/standins/soak_site.py
+++ b/standins/soak_site.py
@@ -54,8 +54,6 @@
 SLOW_ANSWER = '/slow/2?work=5&size=400000&framing=chunks&pause=100'
 SLOW_TIMEOUTS_MS = (400, 700, 1000)
 LAG_PERIOD_S = 0.02
-# Servers end at a deadline that was cut to whole milliseconds twice.
-ROUNDING_S = 0.01
 # Of the requests on the split route, over the whole fleet.
 SPLIT_PER_S = 150
 SPLIT_WEIGHTS = ((90, 10), (50, 50), (60, 40), (75, 25), (30, 70))
@@ -352,15 +350,9 @@
                 process.send_signal(signal.SIGCONT)
             await asyncio.sleep(self.rng.uniform(0.05, 0.3))
 
-    def is_lost(self, outcome, runs, ends):
-        """Tell whether a request without a whole answer counts as lost.
-
-        Not one that its route or its caller allows no more time.
-        """
-        took_s = outcome.ended_at - outcome.sent.sent_at
-        if took_s >= find_timeout(outcome.sent, self.versions) - ROUNDING_S:
-            return False
-        return super().is_lost(outcome, runs, ends)
+    def find_limit_s(self, sent):
+        """Return the time that its route or its caller allows a request."""
+        return find_timeout(sent, self.versions)
 
     async def refuse_nodes(self, until):
         """Let the store turn some nodes away for some seconds."""
@@ -531,6 +523,7 @@
         'machines': sum(one[3] == 'machine' for one in soak.disturbances),
         'versions': len(soak.versions),
         'max_lag_s': round(soak.max_lag_s, 3),
+        'losses': {str(key): count for key, count in soak.clauses.items()},
         'broken': len(broken),
         'logs': str(soak.fleet.folder),
     }
