Wait for an overdue answer until another server has answered

Callers saw 502 or 503 of a node's own while a server was at work on their request, or had its answer ready (LOST around a SIGTERM).

Cause: a call that took longer than usual was given up first, and then sent to a second server. Whether that one has room, leaves or breaks off is known only afterwards.

Now a late answer raises LateAnswerError, which leaves its exchange open; the second server is asked beside it, for the same retry and token as before, and the first head of an answer wins (routing/races.py). What fails or is refused in the meantime ends only its own lane. A request whose body is still received is no longer given up, since it could not be sent again. A node that leaves no longer gives up a call because the other node answers no probe: its caller is told nothing better by that.

Ruled out: giving up only when the second server is known to have room, since that is known a gossip period ago at best.

--- a/limpetshore/errors.py
+++ b/limpetshore/errors.py
@@ -64,6 +64,10 @@
     """Report an answer that did not end in the time of its request."""
 
 
+class LateAnswerError(LimpetshoreError):
+    """Report that an answer is late, while its exchange goes on."""
+
+
 class TooLongError(TransportError):
     """Report a head, or a train of answers, that does not end."""
 
--- a/limpetshore/protocol/exchanges.py
+++ b/limpetshore/protocol/exchanges.py
@@ -37,6 +37,11 @@
     return False
 
 
+def allow_giving_up() -> bool:
+    """Return True: a node that seems dead need not be waited for."""
+    return True
+
+
 class InboundRequest(NamedTuple):
     """Hold a received request, which may be sent several times.
 
@@ -83,7 +88,8 @@
     `peer_request` is the request of another node that this attempt serves, if
     any. Most answers arrive within `late_after_s`. The answer is overdue after
     `overdue_after_s`; `may_retry_elsewhere` tells whether the request may then
-    be sent to another server instead.
+    be sent to another server, too. `may_give_up` tells whether to wait no
+    longer for a node that answers no probe.
     """
 
     inbound: InboundRequest
@@ -93,6 +99,7 @@
     overdue_after_s: float | None = None
     may_retry_elsewhere: Callable[[], bool] = forbid_retry
     late_after_s: float = 0
+    may_give_up: Callable[[], bool] = allow_giving_up
 
 
 class Answer(NamedTuple):
@@ -118,9 +125,14 @@
     async def open(self, request: OutboundRequest) -> Answer:
         """Send the request and wait for the head of the answer.
 
-        Raise RefusedError, with a verdict, if there is no answer.
+        Raise RefusedError, with a verdict, if there is no answer, and
+        LateAnswerError if another server may be asked beside this one.
         """
 
+    async def resume(self, request: OutboundRequest) -> Answer:
+        """Wait on after LateAnswerError, which by default is not raised."""
+        raise NotImplementedError
+
     @property
     @abstractmethod
     def has_chunk(self) -> bool:
--- a/limpetshore/routing/attempts.py
+++ b/limpetshore/routing/attempts.py
@@ -3,34 +3,32 @@
 The outcome of each attempt updates the state of the load balancer.
 """
 
-from typing import NamedTuple
+from collections.abc import Awaitable
+
+import anyio
 
 from limpetshore import clock
-from limpetshore.decisions.latency_estimate import LatencyEstimate
 from limpetshore.decisions.retry_budgets import is_retry_safe
-from limpetshore.decisions.shedding import MIN_DOWNSTREAM_OVERLOAD_LEVEL
-from limpetshore.errors import RefusedError, TruncatedError, refuse
+from limpetshore.errors import (
+    LateAnswerError,
+    RefusedError,
+    TruncatedError,
+    refuse,
+)
 from limpetshore.protocol.bodies import AnswerSender, CallerDisconnectedError
-from limpetshore.protocol.dialects import ID_BYTES, MS_PER_S, RequestIdentity
+from limpetshore.protocol.dialects import ID_BYTES, MS_PER_S
 from limpetshore.protocol.exchanges import (
     Answer,
-    Exchange,
-    GuardRefusalError,
     InboundRequest,
     OutboundRequest,
+    forbid_retry,
 )
-from limpetshore.protocol.messages import (
-    CallMeta,
-    NodeState,
-    get_header,
-    strip_hop_headers,
-)
+from limpetshore.protocol.messages import CallMeta, NodeState
 from limpetshore.randomness import random_pool
-from limpetshore.routing.authentication import Origin
+from limpetshore.routing.attempt import Attempt, RoutedCall
 from limpetshore.routing.ingress_state import IngressState
-from limpetshore.routing.relaying import NO_DROPPED_HEADERS, relay_answer
+from limpetshore.routing.races import Lane, find_failure, oppose
 from limpetshore.state.deduplication import find_owner
-from limpetshore.state.policies import RouteMatch
 from limpetshore.verdicts import UNSENT_REASONS, Reason, Refusal, Verdict
 
 # Maximum dispatches of a request that no server has run, by refusal reason.
@@ -38,30 +36,6 @@
 MAX_DISPATCHES = {reason: 6 for reason in UNSENT_REASONS}
 MAX_DISPATCHES[Reason.OVERLOADED] = 2
 QUICK_REFUSAL_S = 0.05
-MIN_SERVER_ERROR_STATUS = 500
-MAX_BUFFERED_ANSWER_BYTES = 65536
-DOWNSTREAM_LEVEL_WEIGHT = 0.2
-
-
-class RoutedCall(NamedTuple):
-    """Describe a request whose route, caller and target service are known.
-
-    `is_nested` is set for an anonymous call on an open route, which is treated
-    as a call of the local backend server. `started_at` is on the local clock.
-    """
-
-    match: RouteMatch
-    origin: Origin
-    identity: RequestIdentity
-    service: str
-    started_at: float
-    is_nested: bool
-
-    def return_unspent_retries(self) -> None:
-        """Return the unspent part of the retry budget to the parent call."""
-        if self.origin.parent is not None:
-            budget = self.origin.budget
-            self.origin.parent.budget.settle(budget.granted, budget.spent)
 
 
 class Attempts:
@@ -80,8 +54,11 @@
         self.is_repeatable = call.match.route.is_repeatable
         self.tried: list[str] = []
         self.sent_at = call.started_at
+        self.is_racing = False
 
-    async def run(self, inbound: InboundRequest) -> Exception | None:
+    async def run(
+        self, inbound: InboundRequest, lane: Lane | None = None
+    ) -> Exception | None:
         """Try servers until one answers; return the last failure or None.
 
         The failure is returned, not raised, because a task group would wrap
@@ -89,18 +66,79 @@
         """
         has_run = False
         while True:
-            try:
-                await self.attempt(inbound)
-            except RefusedError as error:
-                refusal = error.refusal
-                has_run = has_run or refusal.verdict == Verdict.MAY_HAVE_RUN
-                if self.acquire_retry(inbound, error, has_run=has_run):
-                    continue
+            failure = await self.attempt(inbound, lane)
+            if not isinstance(failure, RefusedError):
+                return failure
+            refusal = failure.refusal
+            has_run = has_run or refusal.verdict == Verdict.MAY_HAVE_RUN
+            if not self.acquire_retry(inbound, failure, has_run=has_run):
                 verdict = Verdict.MAY_HAVE_RUN if has_run else refusal.verdict
                 return RefusedError(refusal._replace(verdict=verdict))
-            except (CallerDisconnectedError, TruncatedError) as error:
-                return error
-            return None
+
+    async def attempt(
+        self, inbound: InboundRequest, lane: Lane | None
+    ) -> Exception | None:
+        """Send the request to one server; return its failure or None."""
+        try:
+            server = self.choose_server()
+        except RefusedError as error:
+            return error
+        self.tried.append(server.name)
+        attempt = Attempt(self.state, self.call, self.sender, server)
+        self.sent_at = attempt.sent_at
+        request = self.build_request(inbound, attempt)
+        try:
+            return await self.complete(attempt, attempt.open(request), lane)
+        except LateAnswerError:
+            return await self.race(attempt, inbound)
+        finally:
+            await attempt.close()
+
+    async def complete(
+        self, attempt: Attempt, waiting: Awaitable[Answer], lane: Lane | None
+    ) -> Exception | None:
+        """Wait for an answer and deliver it; return the failure or None."""
+        try:
+            answer = await waiting
+            if lane is None or lane.claim():
+                await attempt.deliver(answer)
+        except (
+            RefusedError,
+            CallerDisconnectedError,
+            TruncatedError,
+        ) as error:
+            attempt.record_failure(error)
+            return error
+        return None
+
+    async def race(
+        self, late: Attempt, inbound: InboundRequest
+    ) -> Exception | None:
+        """Wait on for a late answer, and ask another server beside it.
+
+        The late attempt is given up only once the other one has an answer:
+        its server may be at work, and the other server may refuse.
+        """
+        self.spend_retry(Reason.SILENT)
+        self.is_racing = True
+        waiting, retrying = oppose()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.wait_on, late, waiting)
+            tasks.start_soon(self.retry_beside, inbound, retrying)
+        self.is_racing = False
+        if retrying.has_won:
+            late.stats.record_unanswered(Reason.SILENT)
+        return find_failure(waiting, retrying)
+
+    async def wait_on(self, late: Attempt, lane: Lane) -> None:
+        """Wait for a late answer until the other lane has one."""
+        with lane.scope:
+            lane.failure = await self.complete(late, late.resume(), lane)
+
+    async def retry_beside(self, inbound: InboundRequest, lane: Lane) -> None:
+        """Try other servers until the late one has answered."""
+        with lane.scope:
+            lane.failure = await self.run(inbound, lane)
 
     def acquire_retry(
         self,
@@ -148,13 +186,13 @@
         return balancer.has_untried(self.call.service, self.tried)
 
     def may_retry_elsewhere(self) -> bool:
-        """Tell whether an overdue attempt may be retried at another server.
+        """Tell whether to ask another server beside a late one.
 
-        A node that is leaving keeps waiting for its outstanding answers, and
-        so does one that knows no other server: the attempt would be given up
-        for nothing.
+        A node that is leaving only waits for its outstanding answers.
         """
-        if not self.is_repeatable or self.state.guard.is_leaving:
+        if not self.is_repeatable or not self.may_give_up():
+            return False
+        if self.is_racing:
             return False
         service = self.call.service
         return (
@@ -163,6 +201,13 @@
             and self.state.balancer.has_untried(service, self.tried)
         )
 
+    def may_give_up(self) -> bool:
+        """Tell whether a node that seems dead may be given up.
+
+        A node that is leaving waits for answers until their deadline.
+        """
+        return not self.state.guard.is_leaving
+
     def spend_retry(self, reason: Reason) -> bool:
         """Spend a retry of the request and a token of the service.
 
@@ -209,56 +254,20 @@
             )
         return server
 
-    async def attempt(self, inbound: InboundRequest) -> None:
-        """Send the request to one server and relay its answer to the caller."""
-        server = self.choose_server()
-        self.tried.append(server.name)
-        stats = self.state.balancer.stats(server.name)
-        lent = self.call.origin.budget.lend()
-        estimate = self.state.latencies[self.call.match.name]
-        self.sent_at = clock.now()
-        sent = self.build_request(inbound, lent, estimate)
-        exchange = self.state.open_exchange(server)
-        spent = lent  # assumed if the attempt ends without a report
-        stats.in_flight += 1
-        try:
-            answer = await exchange.open(sent)
-            estimate.observe(clock.now() - self.sent_at)
-            spent = answer.meta.retries_spent
-            await self.deliver_and_record(server, exchange, answer)
-        except GuardRefusalError as error:
-            spent = error.meta.retries_spent
-            stats.record_refusal(error.meta, error.refusal.reason)
-            self.report_downstream_levels(
-                error.meta.level, error.meta.downstream_level
-            )
-            raise
-        except RefusedError as error:
-            if error.refusal.verdict == Verdict.NOT_RUN:
-                spent = 0
-            stats.record_unanswered(error.refusal.reason)
-            raise
-        except TruncatedError:
-            stats.record_failure()
-            raise
-        finally:
-            stats.in_flight -= 1
-            self.call.origin.budget.settle(lent, spent)
-            await exchange.close()
-
     def build_request(
         self,
         inbound: InboundRequest,
-        lent: int,
-        estimate: LatencyEstimate,
+        attempt: Attempt,
     ) -> OutboundRequest:
         """Return the request with the metadata of one attempt.
 
-        `lent` is the number of retries that the next hop may spend.
+        One whose body is still received cannot be sent twice.
         """
         call = self.call
+        estimate = self.state.latencies[call.match.name]
+        is_replayable = inbound.body_rest is None
         context = call.origin.context
-        remaining_ms = int((context.deadline - self.sent_at) * MS_PER_S)
+        remaining_ms = int((context.deadline - attempt.sent_at) * MS_PER_S)
         meta = CallMeta(
             random_pool.take_hex(ID_BYTES),
             call.identity.text,
@@ -266,7 +275,7 @@
             call.match.name,
             context.importance,
             max(1, remaining_ms),
-            lent,
+            attempt.lent,
             context.depth,
             self.is_repeatable,
             call.identity.is_from_caller,
@@ -280,103 +289,7 @@
             context.deadline,
             None,
             estimate.overdue_after_s(),
-            self.may_retry_elsewhere,
+            self.may_retry_elsewhere if is_replayable else forbid_retry,
             estimate.late_after_s(),
+            self.may_give_up,
         )
-
-    async def deliver_and_record(
-        self,
-        server: NodeState,
-        exchange: Exchange,
-        answer: Answer,
-    ) -> None:
-        """Relay an answer and record its outcome once it is complete."""
-        self.state.on_answer(answer.meta, server, clock.now() - self.sent_at)
-        has_failed = answer.head.status >= MIN_SERVER_ERROR_STATUS
-        self.state.shedding.observe(
-            self.call.match.name,
-            is_downstream_overload=has_failed
-            and answer.meta.downstream_level > MIN_DOWNSTREAM_OVERLOAD_LEVEL,
-        )
-        await self.deliver(exchange, answer)
-        self.record_complete_answer(server, answer)
-        if self.call.is_nested:
-            self.state.guard.nested_refusals.count(is_refused=False)
-
-    def record_complete_answer(
-        self,
-        server: NodeState,
-        answer: Answer,
-    ) -> None:
-        """Update server statistics, retry tokens and latency metrics."""
-        state = self.state
-        # A failure caused by overload downstream does not count against the
-        # server.
-        is_own_failure = (
-            answer.head.status >= MIN_SERVER_ERROR_STATUS
-            and answer.meta.downstream_level <= MIN_DOWNSTREAM_OVERLOAD_LEVEL
-        )
-        state.balancer.stats(server.name).record_answer(
-            answer.meta,
-            has_failed=is_own_failure,
-        )
-        state.retry_tokens[self.call.service].earn()
-        self.report_downstream_levels(0, answer.meta.downstream_level)
-        latency_s = clock.now() - self.call.started_at
-        state.answer_latency.observe(latency_s)
-
-    def report_downstream_levels(
-        self,
-        level: float,
-        downstream_level: float,
-    ) -> None:
-        """Report admission levels to the route and to the parent call."""
-        self.state.downstream_levels[self.call.match.name].report(
-            downstream_level,
-            DOWNSTREAM_LEVEL_WEIGHT,
-        )
-        if self.call.origin.parent:
-            self.call.origin.parent.report_downstream_level(
-                max(level, downstream_level)
-            )
-
-    async def deliver(self, exchange: Exchange, answer: Answer) -> None:
-        """Relay an answer; a short one is buffered until it is complete.
-
-        A short answer that is truncated can then still be refused.
-        """
-        length = get_header(answer.head.headers, b'content-length')
-        added_headers = self.state.authenticator.dialect.build_answer_headers(
-            self.call.identity.text
-        )
-        if length is None or int(length) > MAX_BUFFERED_ANSWER_BYTES:
-            await relay_answer(exchange, self.sender, answer, added_headers)
-            return
-        body = exchange.take_buffered_body()
-        if body is None:
-            deadline = self.call.origin.context.deadline
-            body = await read_answer_body(exchange, deadline)
-        headers = strip_hop_headers(answer.head.headers, NO_DROPPED_HEADERS)
-        headers += added_headers
-        # Free the slot first, so that a slow caller does not occupy it.
-        await exchange.close()
-        self.sender.send_complete(answer.head.status, headers, body)
-
-
-async def read_answer_body(exchange: Exchange, deadline: float) -> bytes:
-    """Return the body of an answer, or refuse an answer that is truncated.
-
-    After the deadline, this or the other node may have given it up.
-    """
-    chunks = []
-    try:
-        while chunk := await exchange.read_chunk():
-            chunks.append(chunk)
-    except TruncatedError as error:
-        is_late = clock.now() >= deadline
-        raise refuse(
-            Reason.DEADLINE if is_late else Reason.TRUNCATED,
-            str(error),
-            verdict=Verdict.MAY_HAVE_RUN,
-        ) from error
-    return b''.join(chunks)
--- a/limpetshore/routing/ingress.py
+++ b/limpetshore/routing/ingress.py
@@ -22,7 +22,8 @@
     read_inbound_request,
 )
 from limpetshore.protocol.messages import get_header
-from limpetshore.routing.attempts import Attempts, RoutedCall
+from limpetshore.routing.attempt import RoutedCall
+from limpetshore.routing.attempts import Attempts
 from limpetshore.routing.authentication import ANONYMOUS
 from limpetshore.routing.ingress_state import IngressState
 from limpetshore.transport.server_connection import CallApp
--- a/limpetshore/routing/peer_calls.py
+++ b/limpetshore/routing/peer_calls.py
@@ -10,6 +10,7 @@
 from limpetshore.errors import (
     ConnectError,
     ConnectionLostError,
+    LateAnswerError,
     RefusedError,
     TransportError,
     TruncatedError,
@@ -85,20 +86,29 @@
         self.connection.end_by(request.deadline + ANSWER_TAIL_S)
         try:
             await send_request(self.connection, request.inbound, [meta])
+        except (ConnectionLostError, TruncatedError) as error:
+            raise await self.build_lost_error(request, error) from error
+        return await self.resume(request)
+
+    async def resume(self, request: OutboundRequest) -> Answer:
+        """Wait for the head of the answer."""
+        try:
             head = await self.wait_head(request)
         except (ConnectionLostError, TruncatedError) as error:
-            verdict = await self.probe_verdict(request)
-            raise refuse(
-                find_failure_reason(error),
-                str(error),
-                verdict=verdict,
-            ) from error
+            raise await self.build_lost_error(request, error) from error
         answer = parse_answer(head)
         if answer.meta.verdict:
             await self.discard_body()
             raise GuardRefusalError(parse_refusal(answer.meta), answer.meta)
         return answer
 
+    async def build_lost_error(
+        self, request: OutboundRequest, error: TransportError
+    ) -> RefusedError:
+        """Build the error for a call whose connection was lost."""
+        verdict = await self.probe_verdict(request)
+        return refuse(find_failure_reason(error), str(error), verdict=verdict)
+
     async def wait_head(self, request: OutboundRequest) -> ResponseHead:
         """Wait for the head of the answer, probing a silent node.
 
@@ -135,7 +145,7 @@
         reply = await self.probe(request)
         if reply is None:
             self.lost_probes += 1
-            if self.lost_probes >= MAX_LOST_PROBES:
+            if self.lost_probes >= MAX_LOST_PROBES and request.may_give_up():
                 raise build_silent_error(
                     'the other node cannot be reached any more'
                 )
@@ -152,7 +162,7 @@
         with contextlib.suppress(TimeoutError):
             return await self.connection.read_head(wait_s)
         if self.is_overdue(request) and request.may_retry_elsewhere():
-            raise build_silent_error('the answer is overdue')
+            raise LateAnswerError
         return None
 
     @property
--- a/tests/scripted_peers.py
+++ b/tests/scripted_peers.py
@@ -21,7 +21,8 @@
     ProbeReply,
     json_encoder,
 )
-from limpetshore.routing.attempts import Attempts, RoutedCall
+from limpetshore.routing.attempt import RoutedCall
+from limpetshore.routing.attempts import Attempts
 from limpetshore.routing.authentication import Origin
 from limpetshore.routing.calls import CallContext
 from limpetshore.routing.peer_calls import PeerExchange
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -7,7 +7,8 @@
 from limpetshore.decisions.retry_budgets import RetryBudget, RetryTokens
 from limpetshore.metrics import Metrics
 from limpetshore.protocol.dialects import RequestIdentity
-from limpetshore.routing.attempts import Attempts, RoutedCall
+from limpetshore.routing.attempt import RoutedCall
+from limpetshore.routing.attempts import Attempts
 from limpetshore.routing.authentication import Origin
 from limpetshore.routing.calls import CallContext
 from limpetshore.state.policies import PolicyIndex
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -62,6 +62,11 @@
     """Stand for a request that may not be retried elsewhere."""
 
     overdue_after_s = None
+    is_given_up = True
+
+    def may_give_up(self):
+        """Tell whether a dead node is given up."""
+        return self.is_given_up
 
     def __init__(self, late_after_s):
         """Set when most answers of the route have arrived."""
@@ -124,3 +129,20 @@
     verdict, waited_s = run_on_mock_clock(run)
     assert verdict == Verdict.MAY_HAVE_RUN
     assert waited_s <= 3
+
+
+def test_leaving_node_waits_for_a_silent_one():
+    """Give up no call while leaving, though the other node says nothing.
+
+    It may have no processor time, while its server is at work.
+    """
+
+    async def run():
+        exchange = CountedProbes(QuietPool(), SILENCE_S, 10, QUIET_S)
+        exchange.is_dead = True
+        exchange.connection = DelayedConnection(4.8)
+        request = WaitingRequest(0.5)
+        request.is_given_up = False
+        return await exchange.wait_head(request)
+
+    assert run_on_mock_clock(run) == 'head'
