--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -4,11 +4,13 @@
 import itertools
 import signal
 import threading
+from types import SimpleNamespace
 
 import anyio
 import pytest
 
 from limpetshore.decisions.drain_schedule import DrainSchedule
+from limpetshore.node import Node
 from standins.local_fleet import LocalFleet, wait_until
 from tests.builders import KEY, SHORT_FLEET_PERIODS, build_ticket_tables
 from tests.mock_clock import run_on_mock_clock
@@ -78,6 +80,45 @@
     assert run_on_mock_clock(run) >= 0.8
 
 
+class StoppableServer:
+    """Stand for a server whose connections end at once."""
+
+    is_stopping = False
+
+    def stop(self):
+        """Close the port."""
+        self.is_stopping = True
+
+    async def wait_stopped(self):
+        """Return at once."""
+
+
+def test_ports_stay_open_while_calls_run():
+    """Answer the probes of other nodes as long as their calls run here.
+
+    The port for other nodes closed after the notice, so that each probe of a
+    call that still ran was refused, and the call was given up.
+    """
+
+    async def run():
+        calls = {'token': 'call'}
+        node = SimpleNamespace(
+            peers_server=StoppableServer(),
+            callers_server=StoppableServer(),
+            side_servers=[],
+            guard=SimpleNamespace(running_calls=SimpleNamespace(calls=calls)),
+        )
+        servers = (node.peers_server, node.callers_server)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(Node.finish_calls, node, 5)
+            await anyio.sleep(2)
+            seen = [server.is_stopping for server in servers]
+            calls.clear()
+        return seen, [server.is_stopping for server in servers]
+
+    assert run_on_mock_clock(run) == ([False, False], [True, True])
+
+
 def test_further_signals_cut_off_no_request(fleet):
     """Finish open requests though SIGTERM and SIGHUP come again and again.
 
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -1,5 +1,9 @@
 """Test when a node that waits for the answer of another one probes it."""
 
+import asyncio
+import socket
+from types import SimpleNamespace
+
 import anyio
 import pytest
 
@@ -7,8 +11,11 @@
 from limpetshore.errors import RefusedError
 from limpetshore.protocol.messages import ProbeReply
 from limpetshore.routing.peer_calls import PeerExchange
+from limpetshore.transport.http_client import Address
+from limpetshore.transport.http_pool import HttpPool
 from limpetshore.verdicts import Verdict
 from tests.mock_clock import run_on_mock_clock
+from tests.support import LOOPBACK_HOST
 
 SILENCE_S, QUIET_S = 1.5, 0.25
 
@@ -146,3 +153,27 @@
         return await exchange.wait_head(request)
 
     assert run_on_mock_clock(run) == 'head'
+
+
+def test_refused_probe_does_not_say_that_a_call_is_lost():
+    """Take a closed port for that of a node that finishes its calls.
+
+    Two nodes that stop at once gave up calls that ran, whose connection was
+    open: the port for probes closes before the calls end.
+    """
+
+    async def run():
+        with socket.socket() as port:
+            port.bind((LOOPBACK_HOST, 0))
+            address = Address(*port.getsockname())
+            exchange = PeerExchange(
+                HttpPool(address, 1), SILENCE_S, 10, QUIET_S
+            )
+            exchange.sent_at = clock.now()
+            request = WaitingRequest(0.5)
+            request.meta = SimpleNamespace(call_id='call')
+            return await exchange.probe_answer_lost(request), exchange
+
+    is_lost, exchange = asyncio.run(run())
+    assert not is_lost
+    assert exchange.lost_probes == 0
