Keep the port for other nodes open while their calls run

Callers saw 502 although a server was at work on their call: its node had been told to stop, and so had theirs.

Cause: after its notice a node closed the port for other nodes, though calls of theirs still ran on open connections. A probe of such a call goes to a new connection and was refused at once; two of these counted as a node that cannot be reached. The class: the state of one connection is taken for that of another.

Now the port stays open until the calls at the server have ended, as that of the callers did already, and refuses new calls as 'draining'; other nodes are told from the SIGTERM on to use their connections no further. A probe that is refused (PortClosedError) says that the machine is there and that the process may finish its calls: the connection of the call itself tells if it ended. Probes without any answer count as before.

--- a/limpetshore/errors.py
+++ b/limpetshore/errors.py
@@ -52,6 +52,10 @@
     """Report that no connection could be opened; nothing has been sent."""
 
 
+class PortClosedError(ConnectError):
+    """Report a machine that answered that no process listens there."""
+
+
 class ConnectionLostError(TransportError):
     """Report a connection lost before the first byte of the answer."""
 
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -299,6 +299,7 @@
         self.guard.is_leaving = True
         self.local_shards.is_leaving = True
         self.callers_server.disable_keep_alive()
+        self.peers_server.disable_keep_alive()
         backend = self.guard.backend
         self.table.update_own(Status.LEFT, backend.slots, backend.instance)
         if not self.table.is_joining:
@@ -309,19 +310,20 @@
     async def finish_calls(self, timeout_s: float) -> None:
         """Wait for open requests, then stop all servers.
 
-        The callers' port stays open while calls run at the backend server,
-        which makes its nested calls through that port. Requests that are
-        still open after `timeout_s` seconds are aborted.
+        The ports stay open while calls run at the backend server: it makes
+        its nested calls through that of the callers, and other nodes probe
+        their calls at the other one. Requests that are still open after
+        `timeout_s` seconds are aborted.
         """
-        self.peers_server.stop()
+        servers = (self.peers_server, self.callers_server)
         with anyio.move_on_after(timeout_s):
             while self.guard.running_calls.calls:
                 await anyio.sleep(LEAVE_POLL_S)
-            self.callers_server.stop()
-            await self.peers_server.wait_stopped()
-            await self.callers_server.wait_stopped()
-        self.callers_server.stop()
-        for server in self.side_servers:
+            for server in servers:
+                server.stop()
+            for server in servers:
+                await server.wait_stopped()
+        for server in (*servers, *self.side_servers):
             server.stop()
 
     async def run_periodic_updates(self) -> None:
--- a/limpetshore/routing/peer_calls.py
+++ b/limpetshore/routing/peer_calls.py
@@ -11,6 +11,7 @@
     ConnectError,
     ConnectionLostError,
     LateAnswerError,
+    PortClosedError,
     RefusedError,
     TransportError,
     TruncatedError,
@@ -49,6 +50,7 @@
 MAX_LOST_PROBES = 2
 ANSWER_GRACE_S = 0.25
 MAX_REFUSAL_BYTES = 65536
+RUNNING = ProbeReply(has_arrived=True, is_running=True)
 
 
 class PeerExchange(Exchange):
@@ -215,7 +217,8 @@
     async def probe(self, request: OutboundRequest) -> ProbeReply | None:
         """Ask on a new connection whether the call arrived.
 
-        Return None if the probe fails.
+        Return None if the probe fails. A node that stops closes its port
+        before its last calls have ended.
         """
         probe_request = ProbeRequest(
             request.meta.call_id,
@@ -225,6 +228,8 @@
         with anyio.move_on_after(min(PROBE_TIMEOUT_S, max(0, remaining_s))):
             try:
                 return await send_probe(self.pool.address, probe_request)
+            except PortClosedError:
+                return RUNNING
             except (TransportError, msgspec.MsgspecError):
                 return None
         return None
--- a/limpetshore/transport/http_client.py
+++ b/limpetshore/transport/http_client.py
@@ -13,6 +13,7 @@
     ConnectError,
     ConnectionLostError,
     OverdueError,
+    PortClosedError,
     TooLongError,
     TruncatedError,
 )
@@ -343,6 +344,8 @@
                 address.host,
                 address.port,
             )
+    except ConnectionRefusedError as error:
+        raise PortClosedError(f'{address} is closed') from error
     except (OSError, TimeoutError, OverflowError) as error:
         raise ConnectError(f'cannot connect to {address}: {error}') from error
     return connection
