Give test runs beside each other networks of their own

Four test runs beside each other shared loopback addresses whenever two process ids differed by a multiple of 200: a node of one could take the address of a node of another.

--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -19,12 +20,45 @@
 # Hosts of the store and the proxy; nodes count from 10.
 STORE_HOST, PROXY_HOST = 250, 251
 START_TIMEOUT_S = 15
+NETWORK_COUNT = 200
+RESERVATION_HOST, RESERVATION_PORT = 252, 7008
+
+
+class LoopbackNetwork:
+    """Reserve the second number of the loopback addresses of a fleet.
+
+    Test runs beside each other would otherwise use the same addresses if their
+    process ids differ by a multiple of the number of networks.
+    """
+
+    def __init__(self):
+        """Reserve the first free network from that of the process id on."""
+        start = os.getpid() % NETWORK_COUNT
+        for offset in range(NETWORK_COUNT):
+            self.number = 20 + (start + offset) % NETWORK_COUNT
+            self.reservation = socket.socket()
+            try:
+                self.reservation.bind(
+                    (
+                        f'127.{self.number}.0.{RESERVATION_HOST}',
+                        RESERVATION_PORT,
+                    )
+                )
+            except OSError:
+                self.reservation.close()
+                continue
+            return
+        raise OSError('no loopback network is free')
+
+    def release(self):
+        """Let other fleets use the network."""
+        self.reservation.close()
 
 
 class LocalFleet:
     """Run a store, nodes with their backend servers and optionally a proxy."""
 
-    def __init__(self, layout, *, settings=None, use_proxy=False, net=None):
+    def __init__(self, layout, *, settings=None, use_proxy=False):
         """Prepare a fleet of nodes, each described by a mapping of `layout`.
 
         Keys: name, service, zone and the optional slots, announced_slots
@@ -33,7 +67,8 @@
         self.layout = layout
         self.settings = settings or {}
         self.use_proxy = use_proxy
-        self.net = net or 20 + os.getpid() % 200
+        self.network = LoopbackNetwork()
+        self.net = self.network.number
         self.folder = Path(tempfile.mkdtemp(prefix='limpetshore-'))
         self.processes = {}
         self.proxy_control = f'127.{self.net}.0.{PROXY_HOST}:7009'
@@ -291,6 +326,7 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        self.network.release()
 
     def __enter__(self):
         """Start the fleet."""
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -14,6 +14,7 @@
     PEERS_PORT,
     STORE_PORT,
     LocalFleet,
+    LoopbackNetwork,
     read_report,
     wait_until,
 )
@@ -388,3 +389,15 @@
         30,
     )
     fleet.wait_ready(ticket=True)
+
+
+def test_fleets_beside_each_other_have_networks_of_their_own():
+    """Share no address with another test run.
+
+    A node of one run took the address of a node of another run.
+    """
+    networks = [LoopbackNetwork() for _ in range(3)]
+    numbers = {network.number for network in networks}
+    for network in networks:
+        network.release()
+    assert len(numbers) == len(networks)
