Report answers whose bytes are dropped on a closing connection

ServerConnection.write dropped bytes without a word while the connection closes or lingers, although the caller has not disconnected; so were whole answers queued behind one that the node cut. For the rest of the node such a request was answered: no line named it.

Nothing else is sent or closed than before.

tests/test_call_server.py: two pipelined answers behind an incomplete one, an answer that goes on after its caller has closed its own side, bytes without a request, and no line for a caller that has left.

--- a/limpetshore/metrics.py
+++ b/limpetshore/metrics.py
@@ -52,6 +52,12 @@
             ('cause',),
             registry=registry,
         )
+        self.lost_answers = Counter(
+            'limpetshore_lost_answers',
+            'Answers with bytes dropped on a closing connection, by role',
+            ('role',),
+            registry=registry,
+        )
         self.answer_latency = AnswerLatencyCollector(ROLES)
         registry.register(self.answer_latency)
         self.bad_input = Counter(
--- a/limpetshore/routing/ingress.py
+++ b/limpetshore/routing/ingress.py
@@ -47,6 +47,10 @@
             if not request.is_answered:
                 handler.log_cut()
 
+    def count_lost_answer(self) -> None:
+        """Count an answer whose bytes were dropped."""
+        self.metrics.lost_answers.labels('ingress').inc()
+
 
 def read_host(headers: Headers) -> str:
     """Return the host header in lower case, without the port.
@@ -145,6 +149,7 @@
     async def serve(self) -> None:
         """Resolve the call, then forward it to a server."""
         self.identity = self.dialect.read_request_id(self.headers)
+        self.request.request_id = self.identity.text
         self.call = await self.resolve_call()
         self.attempts = Attempts(self.state, self.call, self.sender)
         try:
--- a/limpetshore/routing/peer_app.py
+++ b/limpetshore/routing/peer_app.py
@@ -60,12 +60,17 @@
             self.guard.metrics.bad_input.labels('peer_call').inc()
             send_refusal(sender, self.dialect.render(error.refusal, ''))
             return
+        request.request_id = meta.request_id
         try:
             await self.serve_call(request, sender, meta)
         except Exception:
             self.guard.metrics.report_defect('guard')
             raise
 
+    def count_lost_answer(self) -> None:
+        """Count an answer whose bytes were dropped."""
+        self.guard.metrics.lost_answers.labels('guard').inc()
+
     async def serve_call(
         self,
         request: ServerRequest,
--- a/limpetshore/transport/server_connection.py
+++ b/limpetshore/transport/server_connection.py
@@ -16,6 +16,7 @@
 
 from limpetshore import clock
 from limpetshore.transport.http_client import TCP_USER_TIMEOUT_MS, wake_waiter
+from limpetshore.transport.lost_answers import report_dropped, report_unsent
 from limpetshore.transport.server_request import ServerRequest
 
 logger = Logger(__name__)
@@ -42,6 +43,9 @@
         If the answer is incomplete at the end, the connection is aborted.
         """
 
+    def count_lost_answer(self) -> None:
+        """Count an answer whose bytes were dropped; not counted by default."""
+
 
 class ConnectionServer(Protocol):
     """Declare the part of a server that its connections use."""
@@ -73,6 +77,7 @@
         self.is_malformed = False
         self.is_discarding = False
         self.is_lingering = False
+        self.is_ended_here = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit how long sent bytes may stay unacknowledged."""
@@ -201,12 +206,13 @@
         """
         while self.open_requests and self.open_requests[0].is_handled:
             request = self.open_requests.popleft()
+            report_unsent(self, (request,))
             if not request.is_answered:
                 self.abort()
-                return
+                return report_unsent(self, self.open_requests)
             if not request.is_kept_alive:
                 self.close()
-                return
+                return report_unsent(self, self.open_requests)
             if self.open_requests:
                 self.open_requests[0].become_oldest()
         self.resume_reading()
@@ -259,8 +265,10 @@
 
     def write(self, chunk: bytes) -> None:
         """Write bytes, unless the connection is closed or closing."""
-        is_closing = self.is_lingering or self.transport.is_closing()
-        if not self.is_disconnected and not is_closing:
+        if self.is_lingering or self.transport.is_closing():
+            request = self.open_requests[0] if self.open_requests else None
+            report_dropped(self, request, (chunk,))
+        elif not self.is_disconnected:
             self.transport.write(chunk)
 
     async def drain(self) -> None:
@@ -289,6 +297,7 @@
         if self.is_lingering or self.is_disconnected:
             return
         self.is_lingering = True
+        self.is_ended_here = True
         self.is_discarding = True
         self.resume_reading()
         self.transport.write_eof()
@@ -307,5 +316,7 @@
 
     def abort(self) -> None:
         """Close at once, so that an incomplete answer is seen as truncated."""
+        if not self.is_disconnected:
+            self.is_ended_here = True
         if self.transport is not None:
             self.transport.abort()
--- a/limpetshore/transport/server_request.py
+++ b/limpetshore/transport/server_request.py
@@ -23,6 +23,7 @@
 
     loop: asyncio.AbstractEventLoop
     is_disconnected: bool
+    is_ended_here: bool
     peer_host: str
     write_waiter: asyncio.Future[None] | None
 
@@ -46,6 +47,8 @@
     """Hold one request, the received part of its body, and its answer."""
 
     # Defaults are class attributes, since most requests never change them.
+    # The application sets the id for log lines.
+    request_id = ''
     method = b''
     target = b''
     path = ''
@@ -61,6 +64,7 @@
     unsent_head = b''
     is_oldest = False
     is_handled = False
+    has_lost_bytes = False
     task: asyncio.Task[None] | None = None
     turn_waiter: asyncio.Future[None] | None = None
     body_waiter: asyncio.Future[None] | None = None
@@ -77,6 +81,11 @@
         """Tell whether the caller has disconnected."""
         return self.connection.is_disconnected
 
+    @property
+    def is_ended_here(self) -> bool:
+        """Tell whether this side, not the caller, ends the connection."""
+        return self.connection.is_ended_here
+
     @property
     def peer_host(self) -> str:
         """Return the IP address that the request came from."""
--- a/tests/test_call_server.py
+++ b/tests/test_call_server.py
@@ -5,6 +5,7 @@
 import struct
 
 import anyio
+import logbook
 import pytest
 
 from limpetshore.transport import call_server
@@ -20,6 +21,10 @@
 RESET_AT_CLOSE = struct.pack('ii', 1, 0)
 # Its answer begins before `release` and ends after it.
 BEGUN_PATH = '/begun'
+# Its answer ends before it is complete, after `release`.
+CUT_PATH = '/cut'
+# More than the buffers hold begins before `release`.
+BIG_BEGUN_PATH = '/big-begun'
 
 
 class EchoApp(CallApp):
@@ -30,9 +35,15 @@
         self.release = asyncio.Event()
         self.started = []
         self.cancelled = asyncio.Event()
+        self.lost_count = 0
+
+    def count_lost_answer(self):
+        """Count the answers whose bytes were dropped."""
+        self.lost_count += 1
 
     async def serve(self, request):
         """Answer one request; DELETE only after all earlier ones."""
+        request.request_id = f'id-{request.path}'
         self.started.append(request.path)
         try:
             if request.path == SLOW_PATH:
@@ -43,6 +54,17 @@
                 await self.release.wait()
                 request.send_body(b'end', is_last=True)
                 return
+            if request.path == CUT_PATH:
+                request.start_answer(200, [])
+                await self.release.wait()
+                return
+            if request.path == BIG_BEGUN_PATH:
+                request.start_answer(200, [])
+                request.send_body(b'.' * BIG_BYTES, is_last=False)
+                await self.release.wait()
+                request.send_body(b'more', is_last=False)
+                request.send_body(b'end', is_last=True)
+                return
             if request.method == b'DELETE':
                 await request.wait_turn()
                 self.started.append('turn')
@@ -332,3 +354,110 @@
 
     received = run(work)
     assert b'/quick' in received or received.startswith(b'HTTP/1.1 400')
+
+
+DROPPED_MESSAGE = 'bytes of an answer were dropped, the connection is closing'
+
+
+def list_dropped(records):
+    """Return the fields of the lines on dropped answers."""
+    return [
+        record.extra for record in records if record.message == DROPPED_MESSAGE
+    ]
+
+
+def run_recording(work):
+    """Run `work` with a server; return its result and the log records."""
+    with logbook.TestHandler().applicationbound() as handler:
+        outcome = run(work)
+    return outcome, handler.records
+
+
+def test_answer_behind_an_incomplete_one_is_reported():
+    """Name the request whose whole answer was queued when the node cut.
+
+    The bytes of the answer were dropped without a word.
+    """
+
+    async def work(app, server, reader, writer):
+        writer.write(build_request(CUT_PATH) + build_request('/quick') * 2)
+        await wait_until(lambda: len(app.started) == 3)
+        connection = next(iter(server.connections))
+        await wait_until(lambda: connection.open_requests[2].is_handled)
+        app.release.set()
+        received = await reader.read()
+        assert b'/quick' not in received
+        return app.lost_count
+
+    lost_count, records = run_recording(work)
+    dropped = list_dropped(records)
+    assert [fields['request_id'] for fields in dropped] == ['id-/quick'] * 2
+    assert dropped[0]['is_ended_here']
+    assert dropped[0]['dropped_bytes'] > 0
+    assert lost_count == 2
+    levels = {record.level_name for record in records}
+    assert levels == {'NOTICE'}
+
+
+def test_answer_to_a_closing_connection_is_reported_once():
+    """Name a request whose answer goes on after the connection closes.
+
+    Here the caller has closed its side and still reads.
+    """
+
+    async def work(app, server, reader, writer):
+        writer.write(build_request(BIG_BEGUN_PATH))
+        await wait_until(lambda: app.started)
+        connection = next(iter(server.connections))
+        writer.write_eof()
+        await wait_until(connection.transport.is_closing)
+        assert not connection.is_disconnected
+        app.release.set()
+        await wait_until(lambda: not connection.open_requests)
+        peer = writer.get_extra_info('sockname')[0]
+        writer.transport.abort()
+        return app.lost_count, peer
+
+    (lost_count, peer), records = run_recording(work)
+    dropped = list_dropped(records)
+    assert [fields['request_id'] for fields in dropped] == [
+        f'id-{BIG_BEGUN_PATH}'
+    ]
+    assert dropped[0]['peer'] == peer
+    assert not dropped[0]['is_ended_here']
+    assert lost_count == 1
+
+
+def test_bytes_without_a_request_name_the_peer():
+    """Tell at least who gets no answer if no request is open."""
+
+    async def work(app, server, reader, writer):
+        await wait_until(lambda: server.connections)
+        connection = next(iter(server.connections))
+        connection.close()
+        connection.write(b'HTTP/1.1 400')
+        return writer.get_extra_info('sockname')[0]
+
+    peer, records = run_recording(work)
+    dropped = list_dropped(records)
+    assert [(fields['request_id'], fields['peer']) for fields in dropped] == [
+        ('', peer)
+    ]
+
+
+def test_answer_to_a_caller_that_has_left_is_not_lost():
+    """Report nothing for a caller that has disconnected."""
+
+    async def work(app, server, reader, writer):
+        writer.write(build_request(SLOW_PATH))
+        await wait_until(lambda: app.started)
+        connection = next(iter(server.connections))
+        request = connection.open_requests[0]
+        writer.transport.abort()
+        await app.cancelled.wait()
+        assert not request.is_ended_here
+        request.write(b'late')
+        return app.lost_count
+
+    lost_count, records = run_recording(work)
+    assert (lost_count, list_dropped(records)) == (0, [])
