Name each request that was passed on and that the node ends itself

The line on an answer of the node's own, or on a cut, did not tell whether the request had time left or the node was leaving, and it stood among the ordinary refusals, whose budget a surge uses up.

Where a server may have begun with the request, the line has the level NOTICE, and so the budget that refusals cannot use up, unless its deadline was reached or its caller has left. All of these lines tell left_s and leaving_for_s. The counter limpetshore_own_answers counts the requests by reason and whether the node was leaving. A refusal for an earlier request of the same id (repeated) is not among them: this one was not sent.

A cut behind an earlier answer that closed the connection was logged as "the caller disconnected", one by an unexpected exception as "the node stops"; the detail names the cause now. No decision on a request changes.

--- a/limpetshore/decisions/drain_schedule.py
+++ b/limpetshore/decisions/drain_schedule.py
@@ -26,6 +26,13 @@
         """Begin the grace time."""
         self.started_at = clock.now()
 
+    @property
+    def leaving_for_s(self) -> float | None:
+        """Return the seconds since `start`; None before it."""
+        if self.started_at == clock.NO_DEADLINE:
+            return None
+        return round(clock.now() - self.started_at, 3)
+
     @property
     def exit_at(self) -> float:
         """Return when the node ends all that is still open."""
--- a/limpetshore/metrics.py
+++ b/limpetshore/metrics.py
@@ -52,6 +52,12 @@
             ('cause',),
             registry=registry,
         )
+        self.own_answers = Counter(
+            'limpetshore_own_answers',
+            'Requests passed on to a server that the node ended itself',
+            ('reason', 'leaving'),
+            registry=registry,
+        )
         self.lost_answers = Counter(
             'limpetshore_lost_answers',
             'Answers with bytes dropped on a closing connection, by role',
--- a/limpetshore/routing/ingress.py
+++ b/limpetshore/routing/ingress.py
@@ -32,6 +32,7 @@
 
 logger = Logger(__name__)
 
+CUT = 'cut'  # counted beside the reasons of refusals
 CAPACITY_REASONS = frozenset((Reason.OVERLOADED, Reason.DEADLINE))
 
 
@@ -90,13 +91,20 @@
             # The server closes the connection of an incomplete answer.
             self.cut_detail = str(error)
         except Exception:
+            self.cut_detail = 'unexpected exception'
             self.state.metrics.report_defect('ingress')
             raise
 
     def finish_refused(self, refusal: Refusal) -> None:
         """Count and log a refusal; send it unless an answer has started."""
         self.state.metrics.count_refusal('ingress', refusal)
-        self.log_refusal(refusal)
+        is_passed_on = self.was_passed_on(refusal)
+        if is_passed_on and not self.sender.has_started:
+            self.count_own_answer(refusal.reason)
+        is_overdue = refusal.reason == Reason.DEADLINE and self.is_past_deadline
+        self.log_refusal(
+            refusal, 'NOTICE' if is_passed_on and not is_overdue else 'INFO'
+        )
         if self.call and self.call.is_nested:
             is_capacity_refusal = refusal.reason in CAPACITY_REASONS
             self.state.guard.nested_refusals.count(
@@ -108,9 +116,29 @@
             rendered = self.dialect.render(refusal, self.identity.text)
             send_refusal(self.sender, rendered)
 
-    def log_refusal(self, refusal: Refusal) -> None:
+    def was_passed_on(self, refusal: Refusal) -> bool:
+        """Tell whether a server may have begun with the refused request.
+
+        The reason `repeated` speaks of an earlier request of the same id.
+        """
+        return (
+            self.attempts is not None
+            and bool(self.attempts.tried)
+            and refusal.verdict == Verdict.MAY_HAVE_RUN
+            and refusal.reason != Reason.REPEATED
+        )
+
+    def count_own_answer(self, reason: str) -> None:
+        """Count the end of a request that was passed on to a server."""
+        is_leaving = self.state.drain.leaving_for_s is not None
+        self.state.metrics.own_answers.labels(
+            reason, str(is_leaving).lower()
+        ).inc()
+
+    def log_refusal(self, refusal: Refusal, level: str) -> None:
         """Log the reason of a refusal and the details of its request."""
-        logger.info(
+        logger.log(
+            level,
             'refused: {0}',
             refusal.reason.value,
             extra={
@@ -123,10 +151,22 @@
         )
 
     def log_cut(self) -> None:
-        """Log why a request ends without a complete answer."""
-        is_left = self.request.is_disconnected
+        """Log why a request ends without a complete answer.
+
+        One that was passed on and has time left is lost, unless its caller has
+        disconnected.
+        """
+        request = self.request
+        is_left = request.is_disconnected and not request.is_ended_here
         cause = 'the caller disconnected' if is_left else 'the node stops'
-        logger.info(
+        if request.is_ended_here:
+            cause = 'an earlier answer closed the connection'
+        is_passed_on = bool(self.attempts and self.attempts.tried)
+        if is_passed_on and not is_left:
+            self.count_own_answer(CUT)
+        is_lost = is_passed_on and not is_left and not self.is_past_deadline
+        logger.log(
+            'NOTICE' if is_lost else 'INFO',
             'connection closed without a complete answer',
             extra={
                 'request_id': self.identity.text,
@@ -144,8 +184,22 @@
             'service': call.service if call else '',
             'tried': self.attempts.tried if self.attempts else [],
             'after_s': round(clock.now() - self.started_at, 3),
+            'left_s': self.left_s,
+            'leaving_for_s': self.state.drain.leaving_for_s,
         }
 
+    @property
+    def left_s(self) -> float | None:
+        """Return the seconds until the deadline; None if it is not known."""
+        if self.call is None:
+            return None
+        return round(self.call.origin.context.deadline - clock.now(), 3)
+
+    @property
+    def is_past_deadline(self) -> bool:
+        """Tell whether the request has used up its time."""
+        return self.left_s is not None and self.left_s <= 0
+
     async def serve(self) -> None:
         """Resolve the call, then forward it to a server."""
         self.identity = self.dialect.read_request_id(self.headers)
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -113,6 +113,20 @@
     assert (reply.reason, reply.verdict) == ('truncated', 'may-have-run')
 
 
+def test_own_answer_to_a_request_that_was_passed_on_is_counted(fleet):
+    """Count the answer under its reason, apart from refusals in general."""
+
+    def count():
+        counts = fleet.metrics('stock-1')
+        labels = '{leaving="false",reason="truncated"}'
+        return counts.get(f'limpetshore_own_answers_total{labels}', 0)
+
+    before = count()
+    headers = {'x-size': '60000', 'x-cut': '1'}
+    call(fleet.callers_address('stock-1'), '/yard', headers=headers)
+    assert count() == before + 1
+
+
 def test_non_repeatable_request_runs_once(fleet):
     """Refuse a second request with the same id at every ingress."""
 
