Log what is open when a node begins to stop and what it aborts

The record of a stop did not tell when it began or what it cut. The line at the SIGTERM counts the open requests of callers, the calls of other nodes and the calls at work at the local server; the line at the end counts those that are left, right before the event loop aborts them. Both are NOTICE lines, and so is the one at the start.

--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -239,7 +239,7 @@
         with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
             await self.start()
             deliver_signals()
-            logger.info(
+            logger.notice(
                 'the node accepts calls',
                 extra={'callers': self.settings.listen.callers},
             )
@@ -248,13 +248,16 @@
             self.control_server.stop()
             await self.control_server.wait_stopped()
             self.gossip.client.close()
+            self.log_left()
             # The receivers restore the default actions when they are closed.
             hold_signals()
         self.tasks.cancel_scope.cancel()
 
     async def leave(self) -> None:
         """Announce the departure, finish open requests, stop the servers."""
-        logger.info('the node is leaving the fleet')
+        logger.notice(
+            'the node is leaving the fleet', extra=self.count_open('open')
+        )
         drain = self.ingress.drain
         drain.start()
         self.announce_leaving()
@@ -262,7 +265,24 @@
             await self.ledger_repair.release()
         await anyio.sleep(drain.notice_s)
         await self.finish_calls(drain.remaining_s)
-        logger.info('the node has left the fleet')
+
+    def log_left(self) -> None:
+        """Log what is still open, and is aborted with the event loop."""
+        logger.notice(
+            'the node has left the fleet',
+            extra={
+                'leaving_for_s': self.ingress.drain.leaving_for_s,
+                **self.count_open('aborted'),
+            },
+        )
+
+    def count_open(self, prefix: str) -> dict[str, int]:
+        """Count what is open: requests, calls of other nodes, calls at work."""
+        return {
+            f'{prefix}_requests': self.callers_server.open_request_count,
+            f'{prefix}_peer_calls': self.peers_server.open_request_count,
+            f'{prefix}_running_calls': len(self.guard.running_calls),
+        }
 
     async def start(self) -> None:
         """Start the HTTP servers, then the background tasks."""
--- a/limpetshore/transport/call_server.py
+++ b/limpetshore/transport/call_server.py
@@ -83,6 +83,13 @@
                 return
             await loop.connect_accepted_socket(self.build_connection, accepted)
 
+    @property
+    def open_request_count(self) -> int:
+        """Return how many requests are open on all connections."""
+        return sum(
+            len(connection.open_requests) for connection in self.connections
+        )
+
     async def drain_connections(self) -> None:
         """Close connections as they become idle, for at most `graceful_s`."""
         deadline = clock.now() + self.graceful_s
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,7 +1,9 @@
 """Test what a node that stops still takes."""
 
+import contextlib
 import http.client
 import itertools
+import json
 import signal
 import threading
 
@@ -186,3 +188,64 @@
     assert [key for key in runs if answers.get(key, 0) is None] == []
     assert sum(status == 200 for status in answers.values()) >= 6
     assert fleet.processes['yard-1'].returncode == 0
+
+
+def read_log(fleet, name):
+    """Return the log lines of a node that has ended."""
+    lines = (fleet.folder / f'{name}.log').read_text().splitlines()
+    return [json.loads(line) for line in lines if line.startswith('{')]
+
+
+def find_line(lines, message):
+    """Return the only line with a message."""
+    (line,) = [line for line in lines if line['message'] == message]
+    return line
+
+
+def test_log_tells_what_a_stop_cuts(fleet):
+    """Count what is open at the SIGTERM and what is cut, and name each cut.
+
+    The lines of the last moments were lost with the process.
+    """
+    tables = build_ticket_tables(2)
+    for route in tables['routes'].values():
+        route['timeout_s'] = 60
+    assert fleet.apply(tables).returncode == 0
+    wait_until(lambda: fleet.status('yard-1')['ticket'] == 2, 'second ticket')
+    entry = fleet.callers_address('yard-1')
+    request_ids = {'/stock': new_request_id(), '/yard': new_request_id()}
+
+    def send(path):
+        headers = {'x-work-ms': '30000', 'x-request-id': request_ids[path]}
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            call(entry, path, headers=headers)
+
+    callers = [
+        threading.Thread(target=send, args=(path,)) for path in request_ids
+    ]
+    for caller in callers:
+        caller.start()
+    for name in ('stock-1', 'yard-1'):
+        wait_until(
+            lambda name=name: fleet.status(name)['in_flight'], 'open call'
+        )
+    assert fleet.terminate('yard-1') == 0
+    for caller in callers:
+        caller.join()
+    lines = read_log(fleet, 'yard-1')
+    leaving = find_line(lines, 'the node is leaving the fleet')
+    assert (leaving['open_requests'], leaving['open_running_calls']) == (2, 1)
+    left = find_line(lines, 'the node has left the fleet')
+    assert (left['aborted_requests'], left['aborted_running_calls']) == (2, 1)
+    assert left['leaving_for_s'] > 0
+    cuts = {
+        line['request_id']: line
+        for line in lines
+        if line['message'] == 'connection closed without a complete answer'
+    }
+    assert set(cuts) == set(request_ids.values())
+    for line in cuts.values():
+        assert (line['level'], line['detail']) == ('NOTICE', 'the node stops')
+        assert line['left_s'] > 0
+        assert line['leaving_for_s'] >= left['leaving_for_s']
+    assert cuts[request_ids['/stock']]['tried'] == ['stock-1']
