--- a/limpetshore/metrics.py
+++ b/limpetshore/metrics.py
@@ -52,6 +52,18 @@
             ('cause',),
             registry=registry,
         )
+        self.own_answers = Counter(
+            'limpetshore_own_answers',
+            'Requests passed on to a server that the node ended itself',
+            ('reason', 'leaving'),
+            registry=registry,
+        )
+        self.lost_answers = Counter(
+            'limpetshore_lost_answers',
+            'Answers with bytes dropped on a closing connection, by role',
+            ('role',),
+            registry=registry,
+        )
         self.answer_latency = AnswerLatencyCollector(ROLES)
         registry.register(self.answer_latency)
         self.bad_input = Counter(
