Hand on no less time than is left

The time left was rounded down to milliseconds where it is handed to a server and to another node, so that a server, which stops work at the value that it receives, and the guard of the other node ended a call up to 1 ms before its time was over.

It is rounded up in one function now.

--- a/limpetshore/platform/dialects.py
+++ b/limpetshore/platform/dialects.py
@@ -12,6 +12,7 @@
     CallerDialect,
     RenderedRefusal,
     RequestIdentity,
+    count_ms_left,
     decode_key,
     decode_request_id,
     read_bearer,
@@ -109,9 +110,9 @@
 
     def build_headers(self, call: BackendCall, instance: str) -> Headers:
         """Return deadline, caller service, customer and expected instance."""
-        remaining_ms = int(call.remaining_s * MS_PER_S)
+        remaining_ms = count_ms_left(call.remaining_s)
         headers = [
-            (wire.DEADLINE_MS, b'%d' % max(1, remaining_ms)),
+            (wire.DEADLINE_MS, b'%d' % remaining_ms),
             (wire.CALLER_SERVICE, call.caller_service.encode()),
         ]
         if call.customer:
--- a/limpetshore/protocol/dialects.py
+++ b/limpetshore/protocol/dialects.py
@@ -3,6 +3,7 @@
 A dialect is one such interface: with callers, or with backend servers.
 """
 
+import math
 from abc import ABC, abstractmethod
 from typing import NamedTuple
 
@@ -194,12 +195,12 @@
 
     def build_headers(self, call: BackendCall, instance: str) -> Headers:
         """Return token, customer, request id and remaining time in ms."""
-        remaining_ms = int(call.remaining_s * MS_PER_S)
+        remaining_ms = count_ms_left(call.remaining_s)
         return [
             (TOKEN_HEADER, call.token.encode()),
             (CUSTOMER_HEADER, call.customer.encode()),
             (REQUEST_ID_HEADER, call.request_id.encode()),
-            (TIMEOUT_HEADER, b'%d' % max(1, remaining_ms)),
+            (TIMEOUT_HEADER, b'%d' % remaining_ms),
         ]
 
     def find_not_run_reason(self, head: ResponseHead) -> Reason | None:
@@ -227,6 +228,15 @@
         return ''
 
 
+def count_ms_left(remaining_s: float) -> int:
+    """Return the time left in ms, at least 1; never less than is left.
+
+    >>> count_ms_left(1.2341)
+    1235
+    """
+    return max(1, math.ceil(remaining_s * MS_PER_S))
+
+
 def read_bearer(headers: Headers) -> bytes | None:
     """Return the bearer token of the Authorization header, or None.
 
--- a/limpetshore/routing/attempts.py
+++ b/limpetshore/routing/attempts.py
@@ -11,7 +11,11 @@
 from limpetshore.decisions.shedding import MIN_DOWNSTREAM_OVERLOAD_LEVEL
 from limpetshore.errors import RefusedError, TruncatedError, refuse
 from limpetshore.protocol.bodies import AnswerSender, CallerDisconnectedError
-from limpetshore.protocol.dialects import ID_BYTES, MS_PER_S, RequestIdentity
+from limpetshore.protocol.dialects import (
+    ID_BYTES,
+    RequestIdentity,
+    count_ms_left,
+)
 from limpetshore.protocol.exchanges import (
     Answer,
     Exchange,
@@ -258,14 +262,13 @@
         """
         call = self.call
         context = call.origin.context
-        remaining_ms = int((context.deadline - self.sent_at) * MS_PER_S)
         meta = CallMeta(
             random_pool.take_hex(ID_BYTES),
             call.identity.text,
             context.customer,
             call.match.name,
             context.importance,
-            max(1, remaining_ms),
+            count_ms_left(context.deadline - self.sent_at),
             lent,
             context.depth,
             self.is_repeatable,
