End no wait before its deadline

A timer of uvloop counts whole milliseconds, rounded to the nearest, from a time that is rounded down; anyio compares with such a time, too. So a wait could end up to 1.5 ms before its deadline: a request was refused early, and one whose body was awaited, or whose answer was under way, was cut, since a wait that ends before its deadline is taken for a stall.

Each such timer runs 1.5 ms longer now (clock.seconds_until), and deadlines of connections are kept on the local clock, not on that of the event loop, which shows whole milliseconds. Looked at and left alone: limits on durations that lead to no answer at the caller's deadline (connect, stall_s, max_wait_s); they may end 1.5 ms early.

--- a/limpetshore/clock.py
+++ b/limpetshore/clock.py
@@ -9,6 +9,8 @@
 TimeSource = Callable[[], float]
 
 NO_DEADLINE = float('inf')
+# uvloop rounds delays to whole milliseconds and the present time down.
+TIMER_ERROR_S = 0.0015
 
 
 class ProcessClock:
@@ -44,6 +46,12 @@
     globals()['now'] = boot_time  # noqa: WPS421
 
 
+def seconds_until(deadline: float) -> float:
+    """Return how long a timer must run so that it never fires early."""
+    remaining_s = deadline - now()
+    return remaining_s + TIMER_ERROR_S if remaining_s > 0 else 0
+
+
 def wall_time() -> float:
     """Return seconds since 1970; they may jump forward or back."""
     return time.time()
--- a/limpetshore/decisions/admission.py
+++ b/limpetshore/decisions/admission.py
@@ -164,9 +164,9 @@
 
     async def wait(self, request: QueuedRequest) -> None:
         """Wait for admission; raise RefusedError on displacement or timeout."""
-        timeout_s = min(self.max_wait_s, request.deadline - clock.now())
+        remaining_s = clock.seconds_until(request.deadline)
         try:
-            with anyio.move_on_after(max(0, timeout_s)):
+            with anyio.move_on_after(min(self.max_wait_s, remaining_s)):
                 await request.decided.wait()
         except BaseException:
             self.withdraw(request)
--- a/limpetshore/protocol/bodies.py
+++ b/limpetshore/protocol/bodies.py
@@ -54,7 +54,7 @@
         if request.body or request.is_body_complete:
             chunk = await request.read_body()
         else:
-            remaining_s = max(0, self.deadline - clock.now())
+            remaining_s = clock.seconds_until(self.deadline)
             with anyio.move_on_after(min(self.stall_s, remaining_s)):
                 chunk = await request.read_body()
         if not chunk and clock.now() >= self.deadline:
@@ -131,7 +131,7 @@
             return
         if is_last and not request.is_oldest:
             return
-        remaining_s = max(0, self.deadline - clock.now())
+        remaining_s = clock.seconds_until(self.deadline)
         with anyio.move_on_after(min(self.stall_s, remaining_s)):
             await request.drain()
             return
--- a/limpetshore/protocol/exchanges.py
+++ b/limpetshore/protocol/exchanges.py
@@ -252,7 +252,7 @@
 async def skip_answer_by(connection: HttpConnection, deadline: float) -> None:
     """Discard a stray answer; refuse the request at the deadline."""
     try:
-        await connection.skip_answer(max(0, deadline - clock.now()))
+        await connection.skip_answer(clock.seconds_until(deadline))
     except TimeoutError as error:
         raise refuse(
             Reason.DEADLINE,
--- a/limpetshore/transport/http_client.py
+++ b/limpetshore/transport/http_client.py
@@ -162,17 +162,17 @@
                 timer.cancel()
 
     def end_by(self, deadline: float) -> None:
-        """Set when the exchange must have ended, in time of `clock.now`.
+        """Set when the exchange must have ended, on the local clock.
 
         All waits end then, and an answer that goes on is given up, however
         its body is framed.
         """
-        self.deadline = self.loop.time() + deadline - clock.now()
+        self.deadline = deadline
 
     @property
     def is_overdue(self) -> bool:
         """Tell whether the deadline of the exchange has passed."""
-        return self.loop.time() >= self.deadline
+        return clock.now() >= self.deadline
 
     async def read_head(self, timeout_s: float | None = None) -> ResponseHead:
         """Wait for the head of the answer, or raise TimeoutError."""
@@ -265,18 +265,19 @@
         return b''.join(chunks)
 
     def find_deadline(self, timeout_s: float | None) -> float:
-        """Return when a wait of `timeout_s` ends, in time of the event loop."""
+        """Return when a wait of `timeout_s` ends, on the local clock."""
         if timeout_s is None:
             return self.deadline
-        return min(self.deadline, self.loop.time() + timeout_s)
+        return min(self.deadline, clock.now() + timeout_s)
 
     def start_timer(
         self, waiter: asyncio.Future[None], deadline: float
     ) -> asyncio.TimerHandle | None:
-        """Fail a waiter at a deadline, a time of the event loop."""
+        """Fail a waiter at a deadline on the local clock, never earlier."""
         if deadline == clock.NO_DEADLINE:
             return None
-        return self.loop.call_at(deadline, fail_waiter, waiter)
+        wait_s = clock.seconds_until(deadline)
+        return self.loop.call_later(wait_s, fail_waiter, waiter)
 
     async def wait_received(
         self,
@@ -285,7 +286,7 @@
     ) -> None:
         """Wait for more bytes.
 
-        Raise TimeoutError at the deadline, a time of the event loop, and
+        Raise TimeoutError at the deadline, on the local clock, and
         `error_class` if the connection is closed or the server sent bytes that
         are not HTTP.
         """
