Record that waits are given up with their answer in the socket (red)

A process that had no processor time while it read from its sockets runs its timers before it reads from them again: the head or the rest of an answer that has arrived, and room to send, are not seen. The loop of asyncio reads first; the nodes do not use it.

--- a/tests/test_time_limits.py
+++ b/tests/test_time_limits.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 from types import SimpleNamespace
 
@@ -30,7 +31,11 @@
 )
 from limpetshore.protocol.messages import TIMEOUT_HEADER
 from limpetshore.settings import CallSection
-from limpetshore.transport.http_client import Address, connect
+from limpetshore.transport.http_client import (
+    MAX_BUFFERED_BYTES,
+    Address,
+    connect,
+)
 from limpetshore.verdicts import Reason
 from tests.support import LOOPBACK_HOST
 from tests.test_admission import build_admission
@@ -40,6 +45,7 @@
 HEADERS = [(b'host', b'x')]
 LONG_S = 60
 LATE_PHASE = 0.85
+BLOCKED_S = 0.05
 # More than the buffers of both sockets hold.
 LARGE_BYTES = 64 * 1024 * 1024
 PARTIAL_ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n.'
@@ -217,3 +223,118 @@
 
     early_s = anyio.run(run, backend_options={'use_uvloop': True})
     assert early_s <= 0
+
+
+class Starved:
+    """Connect to a server in this thread; block the loop past a deadline."""
+
+    def __init__(self):
+        """Listen, without a connection so far."""
+        self.listener = socket.create_server(ADDRESS)
+        self.near, self.far = socket.socketpair()
+        self.connection = None
+        self.server_side = None
+        self.is_in_time = False
+
+    async def open(self):
+        """Open the connection and send the head of a request."""
+        self.connection = await connect(ADDRESS)
+        self.server_side, _ = self.listener.accept()
+        await self.connection.send_head(b'GET', b'/', HEADERS)
+
+    async def run(self, wait, act):
+        """Return the result of a wait in which `act` and a long block come.
+
+        It is None if the wait is given up.
+
+        The loop blocks while it reads from its sockets, so that its timers
+        run before it reads from them again.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = clock.now() + BLOCKED_S
+
+        def block():
+            loop.remove_reader(self.near)
+            self.is_in_time = clock.now() < deadline
+            act()
+            time.sleep(2 * BLOCKED_S)
+
+        loop.add_reader(self.near, block)
+        self.far.send(b'.')
+        self.connection.end_by(deadline)
+        with contextlib.suppress(TimeoutError, OverdueError):
+            return await wait()
+
+    def close(self):
+        """Close all sockets."""
+        if self.connection:
+            self.connection.close()
+        for one in (self.listener, self.server_side, self.near, self.far):
+            if one:
+                one.close()
+
+
+async def receive_head(starved):
+    """Wait for a head that arrives while the loop is blocked."""
+    head = await starved.run(
+        starved.connection.read_head,
+        lambda: starved.server_side.send(PARTIAL_ANSWER),
+    )
+    return head is not None
+
+
+async def receive_chunk(starved):
+    """Wait for the rest of a body that arrives while the loop is blocked."""
+    starved.server_side.send(PARTIAL_ANSWER)
+    await starved.connection.read_head()
+    await starved.connection.read_chunk()
+    chunk = await starved.run(
+        starved.connection.read_chunk,
+        lambda: starved.server_side.send(b'rest'),
+    )
+    return chunk == b'rest'
+
+
+async def send_more(starved):
+    """Wait for a server that reads again while the loop is blocked."""
+    connection = starved.connection
+    while connection.write_waiter is None:
+        connection.transport.write(bytes(MAX_BUFFERED_BYTES))
+        await asyncio.sleep(0)
+
+    def read():
+        starved.server_side.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            while starved.server_side.recv(MAX_BUFFERED_BYTES):
+                continue
+
+    async def wait():
+        await connection.wait_writable(connection.write_waiter)
+        return True
+
+    return await starved.run(wait, read)
+
+
+@pytest.mark.parametrize('trial', [receive_head, receive_chunk, send_more])
+def test_what_has_arrived_is_read_before_the_time_is_over(monkeypatch, trial):
+    """Look into the socket before a wait is given up.
+
+    A process that had no processor time ran its timers first, and gave up
+    answers that lay in its sockets. A trial in which this process itself was
+    too late shows nothing, and is repeated.
+    """
+    monkeypatch.setattr(clock, 'now', clock.boot_time)
+
+    async def run():
+        is_shown = False
+        while not is_shown:
+            starved = Starved()
+            try:
+                await starved.open()
+                outcome = await trial(starved)
+            finally:
+                starved.close()
+            is_shown = starved.is_in_time
+        return outcome
+
+    assert anyio.run(run, backend_options={'use_uvloop': True})
