Read what has arrived before a wait is given up

When the timer of a wait on a connection fires, the event loop looks at its sockets once more before the wait fails: two rounds of call_soon, since uvloop polls between them.

Not covered: opening a connection, and waits of anyio (a request's body, room to answer, a slot).

--- a/limpetshore/transport/http_client.py
+++ b/limpetshore/transport/http_client.py
@@ -273,11 +273,17 @@
     def start_timer(
         self, waiter: asyncio.Future[None], deadline: float
     ) -> asyncio.TimerHandle | None:
-        """Fail a waiter at a deadline on the local clock, never earlier."""
+        """Fail a waiter at a deadline on the local clock, never earlier.
+
+        What has arrived by then is read first: a process that had no processor
+        time for a while runs its timers before it reads.
+        """
         if deadline == clock.NO_DEADLINE:
             return None
         wait_s = clock.seconds_until(deadline)
-        return self.loop.call_later(wait_s, fail_waiter, waiter)
+        return self.loop.call_later(
+            wait_s, call_after_poll, self.loop, fail_waiter, waiter
+        )
 
     async def wait_received(
         self,
@@ -319,6 +325,18 @@
         self.transport.abort()
 
 
+def call_after_poll(
+    loop: asyncio.AbstractEventLoop,
+    callback: Callable[..., None],
+    *arguments: object,
+) -> None:
+    """Call back after the event loop has looked at its sockets once more.
+
+    It looks at them between two rounds of the calls that are due soon.
+    """
+    loop.call_soon(loop.call_soon, callback, *arguments)
+
+
 def wake_waiter(waiter: asyncio.Future[None] | None) -> None:
     """Complete a future that some task may await."""
     if waiter is not None and not waiter.done():
