--- a/limpetshore/routing/attempts.py
+++ b/limpetshore/routing/attempts.py
@@ -16,7 +16,7 @@
     refuse,
 )
 from limpetshore.protocol.bodies import AnswerSender, CallerDisconnectedError
-from limpetshore.protocol.dialects import ID_BYTES, MS_PER_S
+from limpetshore.protocol.dialects import ID_BYTES, count_ms_left
 from limpetshore.protocol.exchanges import (
     Answer,
     InboundRequest,
@@ -267,14 +267,13 @@
         estimate = self.state.latencies[call.match.name]
         is_replayable = inbound.body_rest is None
         context = call.origin.context
-        remaining_ms = int((context.deadline - attempt.sent_at) * MS_PER_S)
         meta = CallMeta(
             random_pool.take_hex(ID_BYTES),
             call.identity.text,
             context.customer,
             call.match.name,
             context.importance,
-            max(1, remaining_ms),
+            count_ms_left(context.deadline - attempt.sent_at),
             attempt.lent,
             context.depth,
             self.is_repeatable,
--- a/limpetshore/transport/http_client.py
+++ b/limpetshore/transport/http_client.py
@@ -163,17 +163,17 @@
                 timer.cancel()
 
     def end_by(self, deadline: float) -> None:
-        """Set when the exchange must have ended, in time of `clock.now`.
+        """Set when the exchange must have ended, on the local clock.
 
         All waits end then, and an answer that goes on is given up, however
         its body is framed.
         """
-        self.deadline = self.loop.time() + deadline - clock.now()
+        self.deadline = deadline
 
     @property
     def is_overdue(self) -> bool:
         """Tell whether the deadline of the exchange has passed."""
-        return self.loop.time() >= self.deadline
+        return clock.now() >= self.deadline
 
     async def read_head(self, timeout_s: float | None = None) -> ResponseHead:
         """Wait for the head of the answer, or raise TimeoutError."""
@@ -266,18 +266,25 @@
         return b''.join(chunks)
 
     def find_deadline(self, timeout_s: float | None) -> float:
-        """Return when a wait of `timeout_s` ends, in time of the event loop."""
+        """Return when a wait of `timeout_s` ends, on the local clock."""
         if timeout_s is None:
             return self.deadline
-        return min(self.deadline, self.loop.time() + timeout_s)
+        return min(self.deadline, clock.now() + timeout_s)
 
     def start_timer(
         self, waiter: asyncio.Future[None], deadline: float
     ) -> asyncio.TimerHandle | None:
-        """Fail a waiter at a deadline, a time of the event loop."""
+        """Fail a waiter at a deadline on the local clock, never earlier.
+
+        What has arrived by then is read first: a process that had no processor
+        time for a while runs its timers before it reads.
+        """
         if deadline == clock.NO_DEADLINE:
             return None
-        return self.loop.call_at(deadline, fail_waiter, waiter)
+        wait_s = clock.seconds_until(deadline)
+        return self.loop.call_later(
+            wait_s, call_after_poll, self.loop, fail_waiter, waiter
+        )
 
     async def wait_received(
         self,
@@ -286,7 +293,7 @@
     ) -> None:
         """Wait for more bytes.
 
-        Raise TimeoutError at the deadline, a time of the event loop, and
+        Raise TimeoutError at the deadline, on the local clock, and
         `error_class` if the connection is closed or the server sent bytes that
         are not HTTP.
         """
@@ -319,6 +326,18 @@
         self.transport.abort()
 
 
+def call_after_poll(
+    loop: asyncio.AbstractEventLoop,
+    callback: Callable[..., None],
+    *arguments: object,
+) -> None:
+    """Call back after the event loop has looked at its sockets once more.
+
+    It looks at them between two rounds of the calls that are due soon.
+    """
+    loop.call_soon(loop.call_soon, callback, *arguments)
+
+
 def wake_waiter(waiter: asyncio.Future[None] | None) -> None:
     """Complete a future that some task may await."""
     if waiter is not None and not waiter.done():
