Send whole answers before a connection is cut

A request that ended without an answer aborted its connection, and the abort dropped what the event loop or the kernel still held of earlier pipelined answers. The connection is closed behind them now, with a count of what was written and received; it is still aborted if no whole answer is on its way. The incomplete answer stays without its end either way.

Ruled out: always closing instead of aborting. A caller that does not read would see an answer that was given up at its deadline go on.

--- a/limpetshore/transport/server_connection.py
+++ b/limpetshore/transport/server_connection.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import http
-import select
 import socket
 from abc import ABC, abstractmethod
 from collections import deque
@@ -15,6 +14,7 @@
 from logbook import Logger
 
 from limpetshore import clock
+from limpetshore.transport.connection_end import ConnectionEnd
 from limpetshore.transport.http_client import TCP_USER_TIMEOUT_MS, wake_waiter
 from limpetshore.transport.server_request import ServerRequest
 
@@ -39,7 +39,7 @@
     async def serve(self, request: ServerRequest) -> None:
         """Answer one request.
 
-        If the answer is incomplete at the end, the connection is aborted.
+        If the answer is incomplete at the end, the connection is cut.
         """
 
 
@@ -59,6 +59,7 @@
         self.server = server
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
+        self.end: ConnectionEnd | None = None
         self.parser = httptools.HttpRequestParser(self)
         self.peer_host = ''
         self.open_requests: deque[ServerRequest] = deque()
@@ -77,6 +78,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit how long sent bytes may stay unacknowledged."""
         self.transport = transport
+        self.end = ConnectionEnd(transport)
         # A caller that has already reset the connection has no name.
         peer_name = transport.get_extra_info('peername') or ('', 0)
         self.peer_host = peer_name[0]
@@ -93,10 +95,7 @@
         self.server.connections.discard(self)
         wake_waiter(self.write_waiter)
         for request in self.open_requests:
-            wake_waiter(request.body_waiter)
-            wake_waiter(request.turn_waiter)
-            if not request.survives_disconnect:
-                request.task.cancel()
+            request.abandon()
 
     def data_received(self, received: bytes) -> None:
         """Parse requests; refuse bytes that are not HTTP, and close."""
@@ -196,14 +195,15 @@
     def finish_handled(self) -> None:
         """Remove handled requests in order, so that the next one can send.
 
-        An incomplete answer aborts the connection, and an answer with
+        An incomplete answer cuts the connection, and an answer with
         `connection: close` closes it.
         """
         while self.open_requests and self.open_requests[0].is_handled:
             request = self.open_requests.popleft()
             if not request.is_answered:
-                self.abort()
+                self.cut()
                 return
+            self.end.mark_whole()
             if not request.is_kept_alive:
                 self.close()
                 return
@@ -229,13 +229,6 @@
         """Tell whether no request is open."""
         return not self.open_requests
 
-    @property
-    def has_unread_bytes(self) -> bool:
-        """Tell whether bytes have arrived since the event loop last read."""
-        poller = select.poll()
-        poller.register(self.transport.get_extra_info('socket'), select.POLLIN)
-        return bool(poller.poll(0))
-
     def pause_reading(self) -> None:
         """Stop reading from the socket, so that TCP slows the caller down."""
         if not self.is_paused and not self.is_disconnected:
@@ -261,6 +254,7 @@
         """Write bytes, unless the connection is closed or closing."""
         is_closing = self.is_lingering or self.transport.is_closing()
         if not self.is_disconnected and not is_closing:
+            self.end.written_bytes += len(chunk)
             self.transport.write(chunk)
 
     async def drain(self) -> None:
@@ -272,7 +266,7 @@
         """Close if no request is open and none has arrived unread."""
         if not self.is_idle or self.is_lingering:
             return
-        if self.has_unread_bytes:
+        if self.end.has_unread_bytes:
             logger.info(
                 'an idle connection of {0} stays open: bytes are unread',
                 self.peer_host,
@@ -305,7 +299,20 @@
         else:
             self.loop.call_later(LINGER_S, self.end_linger)
 
+    def cut(self) -> None:
+        """End the connection behind an incomplete answer.
+
+        It is aborted, so that its caller sees at once that the answer is
+        truncated, unless whole answers are still on their way.
+        """
+        if self.is_disconnected or not self.end.has_unreceived_answers:
+            self.abort()
+            return
+        self.close()
+        for request in self.open_requests:
+            request.abandon()
+
     def abort(self) -> None:
-        """Close at once, so that an incomplete answer is seen as truncated."""
+        """Close at once; discard what is not sent yet."""
         if self.transport is not None:
             self.transport.abort()
--- a/limpetshore/transport/server_request.py
+++ b/limpetshore/transport/server_request.py
@@ -92,6 +92,13 @@
             self.connection.pause_reading()
         wake_waiter(self.body_waiter)
 
+    def abandon(self) -> None:
+        """Cancel the task, unless it survives a disconnect."""
+        wake_waiter(self.body_waiter)
+        wake_waiter(self.turn_waiter)
+        if not self.survives_disconnect:
+            self.task.cancel()
+
     async def read_body(self) -> bytes:
         """Return the received bytes of the body, or wait for some.
 
