Keep the socket of a closing connection until all is received

It was closed 0.2 s after the kernel had taken the end of the last answer. A request that came later reset the connection, and a caller that read late lost what the kernel still held. The kernel is asked now what the other side has not acknowledged. A connection whose other side is gone ends by its TCP timeout (5 s), or with the process.

A transport that is closing by itself is left alone: its descriptor may belong to another connection by then.

--- a/limpetshore/transport/server_connection.py
+++ b/limpetshore/transport/server_connection.py
@@ -266,6 +266,8 @@
         """Close if no request is open and none has arrived unread."""
         if not self.is_idle or self.is_lingering:
             return
+        if self.transport.is_closing():
+            return
         if self.end.has_unread_bytes:
             logger.info(
                 'an idle connection of {0} stays open: bytes are unread',
@@ -275,12 +277,12 @@
         self.close()
 
     def close(self) -> None:
-        """Close after all written bytes are sent; discard what still comes.
+        """Close after all written bytes are received; discard what comes.
 
-        A connection that is closed with unread bytes is reset, and its caller
-        may lose the end of an answer.
+        A socket that is closed earlier, or with unread bytes, may reset the
+        connection, and its caller may lose the end of an answer.
         """
-        if self.is_lingering or self.is_disconnected:
+        if self.is_lingering or self.transport.is_closing():
             return
         self.is_lingering = True
         self.is_discarding = True
@@ -289,12 +291,11 @@
         self.loop.call_later(LINGER_S, self.end_linger)
 
     def end_linger(self) -> None:
-        """Close the socket once all is sent and nothing comes any more."""
-        if self.is_disconnected:
+        """Close the socket once all is received and nothing comes any more."""
+        if self.transport.is_closing():
             return
-        is_sent = not self.transport.get_write_buffer_size()
         is_quiet = clock.now() >= self.discarded_at + LINGER_S
-        if is_sent and is_quiet:
+        if is_quiet and not self.end.unreceived_bytes:
             self.transport.close()
         else:
             self.loop.call_later(LINGER_S, self.end_linger)
@@ -305,7 +306,9 @@
         It is aborted, so that its caller sees at once that the answer is
         truncated, unless whole answers are still on their way.
         """
-        if self.is_disconnected or not self.end.has_unreceived_answers:
+        if self.transport.is_closing():
+            return
+        if not self.end.has_unreceived_answers:
             self.abort()
             return
         self.close()
