End an idle connection at the moment that is decided

The event loop sent the end in a later step, and read before that. A request that came meanwhile was read and dropped, and a process without processor time ended the connection as late as it was: later than a caller may be kept. The end follows the look for unread bytes now without a step between.

--- a/limpetshore/transport/connection_end.py
+++ b/limpetshore/transport/connection_end.py
@@ -1,7 +1,9 @@
 """Decide when a connection may end, from what was sent and received."""
 
+import contextlib
 import fcntl
 import select
+import socket
 import struct
 import termios
 from asyncio import Transport
@@ -41,3 +43,16 @@
         """Tell whether bytes of whole answers have not been received yet."""
         received_bytes = self.written_bytes - self.unreceived_bytes
         return received_bytes < self.whole_bytes
+
+    def send_end(self) -> None:
+        """Send the end of the stream behind what is written.
+
+        The event loop does so in a later step. If nothing waits to be sent, the
+        end is sent now, so that nothing more is read before it.
+        """
+        if not self.transport.get_write_buffer_size():
+            with self.transport.get_extra_info('socket').dup() as port:
+                # The other side may have reset the connection.
+                with contextlib.suppress(OSError):
+                    port.shutdown(socket.SHUT_WR)
+        self.transport.write_eof()
--- a/limpetshore/transport/server_connection.py
+++ b/limpetshore/transport/server_connection.py
@@ -287,7 +287,7 @@
         self.is_lingering = True
         self.is_discarding = True
         self.resume_reading()
-        self.transport.write_eof()
+        self.end.send_end()
         self.loop.call_later(LINGER_S, self.end_linger)
 
     def end_linger(self) -> None:
