Take a request behind a complete answer while the server stops

Its caller has received the answer before the task that sent it has ended, and sends the next request on the kept connection; another node does so with its next call. It was taken for a pipelined one, read and dropped. No request is taken behind an answer that closes the connection.

--- a/limpetshore/transport/server_connection.py
+++ b/limpetshore/transport/server_connection.py
@@ -142,12 +142,8 @@
         self.receiving.headers.append((name.lower(), value.rstrip(b' \t')))
 
     def on_headers_complete(self) -> None:
-        """Start the task that answers the request.
-
-        While the server stops, a request behind an open one is not taken: its
-        caller sends it again when the connection has closed.
-        """
-        if self.server.is_stopping and self.open_requests:
+        """Start the task that answers the request, if it is taken."""
+        if not self.may_take_request:
             self.is_discarding = True
         if self.is_discarding:
             self.receiving.is_body_discarded = True
@@ -225,9 +221,18 @@
         return request.is_kept_alive and not is_closing
 
     @property
-    def is_idle(self) -> bool:
-        """Tell whether no request is open."""
-        return not self.open_requests
+    def may_take_request(self) -> bool:
+        """Tell whether to take a request that arrives now.
+
+        While the server stops, none is taken behind one that is not answered:
+        its caller sends it again when the connection has closed. The caller of
+        a complete answer sends the next one before the task has ended.
+        """
+        if self.open_requests and not self.open_requests[-1].is_kept_alive:
+            return False
+        return not self.server.is_stopping or all(
+            request.is_answered for request in self.open_requests
+        )
 
     def pause_reading(self) -> None:
         """Stop reading from the socket, so that TCP slows the caller down."""
@@ -264,7 +269,7 @@
 
     def close_idle(self) -> None:
         """Close if no request is open and none has arrived unread."""
-        if not self.is_idle or self.is_lingering:
+        if self.open_requests or self.is_lingering:
             return
         if self.transport.is_closing():
             return
--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -183,7 +183,7 @@
 
     async def work(served):
         await served.send('/first')
-        await wait_until(lambda: served.connection.is_idle)
+        await wait_until(lambda: not served.connection.open_requests)
         served.connection.close_idle()
         poller = select.poll()
         poller.register(served.caller, select.POLLRDHUP)
@@ -255,7 +255,7 @@
 
     async def work(served):
         await served.send('/first')
-        await wait_until(lambda: served.connection.is_idle)
+        await wait_until(lambda: not served.connection.open_requests)
         served.connection.idle_since -= PAUSE_S * 20
         head = build_request('/second')
         served.caller.sendall(head[:10])
