Do not close a connection in the middle of a request head

A connection on which part of a head had come counted as idle: since its last answer while the server stops, and after 10 s otherwise. The time of a head is counted from its first byte, in both cases.

--- a/limpetshore/transport/call_server.py
+++ b/limpetshore/transport/call_server.py
@@ -87,31 +87,25 @@
         """Close connections as they become idle, for at most `graceful_s`."""
         deadline = clock.now() + self.graceful_s
         while self.connections and clock.now() < deadline:
-            idle_before = clock.now() - IDLE_GRACE_S
-            for connection in list(self.connections):
-                if connection.idle_since <= idle_before:
-                    connection.close_idle()
+            self.close_idle(IDLE_GRACE_S)
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
 
     async def sweep(self) -> None:
-        """Periodically close connections idle for too long.
-
-        One that has sent part of a request head is closed earlier.
-        """
+        """Periodically close connections idle for too long."""
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            now = clock.now()
-            for connection in list(self.connections):
-                has_partial_head = (
-                    connection.is_in_headers and connection.header_bytes
-                )
-                limit_s = (
-                    HEADER_TIMEOUT_S
-                    if has_partial_head
-                    else KEEP_ALIVE_TIMEOUT_S
-                )
-                if now > connection.idle_since + limit_s:
-                    connection.close_idle()
+            self.close_idle(KEEP_ALIVE_TIMEOUT_S)
+
+    def close_idle(self, idle_s: float) -> None:
+        """Close connections idle for some time.
+
+        One that has sent part of a request head has its own time for the rest.
+        """
+        now = clock.now()
+        for connection in list(self.connections):
+            limit_s = HEADER_TIMEOUT_S if connection.has_begun_head else idle_s
+            if now >= connection.idle_since + limit_s:
+                connection.close_idle()
 
     async def wait_started(self) -> None:
         """Return once the port is open."""
--- a/limpetshore/transport/server_connection.py
+++ b/limpetshore/transport/server_connection.py
@@ -69,6 +69,7 @@
         self.discarded_at = clock.now()
         self.header_bytes = 0
         self.is_in_headers = True
+        self.has_begun_head = False
         self.is_paused = False
         self.is_disconnected = False
         self.is_malformed = False
@@ -130,6 +131,8 @@
     def on_message_begin(self) -> None:
         """Create the next request."""
         self.receiving = ServerRequest(self)
+        self.has_begun_head = True
+        self.idle_since = clock.now()
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target, which may arrive in parts."""
@@ -143,6 +146,7 @@
 
     def on_headers_complete(self) -> None:
         """Start the task that answers the request, if it is taken."""
+        self.has_begun_head = False
         if not self.may_take_request:
             self.is_discarding = True
         if self.is_discarding:
