--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -4,12 +4,19 @@
 import itertools
 import signal
 import threading
+from types import SimpleNamespace
 
 import anyio
 import pytest
 
 from limpetshore.decisions.drain_schedule import DrainSchedule
-from standins.local_fleet import LocalFleet, wait_until
+from limpetshore.node import Node
+from standins.local_fleet import (
+    PEERS_PORT,
+    LocalFleet,
+    can_connect,
+    wait_until,
+)
 from tests.builders import KEY, SHORT_FLEET_PERIODS, build_ticket_tables
 from tests.mock_clock import run_on_mock_clock
 from tests.support import call, new_request_id
@@ -78,6 +85,86 @@
     assert run_on_mock_clock(run) >= 0.8
 
 
+class StoppableServer:
+    """Record when a server is stopped."""
+
+    def __init__(self):
+        """Start as a server that runs."""
+        self.is_stopped = False
+
+    def disable_keep_alive(self):
+        """Accept that callers are told to connect elsewhere."""
+
+    def stop(self):
+        """Record the stop."""
+        self.is_stopped = True
+
+    async def wait_stopped(self):
+        """Return at once."""
+
+
+def test_ports_stay_open_while_a_call_waits_for_its_server():
+    """Keep the ports while a call is admitted that its server has not begun.
+
+    Only calls that a server was at work on kept the port open through which it
+    makes its own, and none the port at which other nodes ask for the call.
+    """
+
+    async def run():
+        servers = [StoppableServer(), StoppableServer()]
+        guard = SimpleNamespace(
+            open_calls={'queued'}, running_calls=SimpleNamespace(calls={})
+        )
+        node = SimpleNamespace(
+            guard=guard,
+            callers_server=servers[0],
+            peers_server=servers[1],
+            side_servers=[],
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(Node.finish_calls, node, 10)
+            await anyio.sleep(5)
+            stopped_early = [server.is_stopped for server in servers]
+            guard.open_calls.clear()
+        return stopped_early, [server.is_stopped for server in servers]
+
+    assert run_on_mock_clock(run) == ([False, False], [True, True])
+
+
+def test_node_can_be_asked_for_a_call_until_that_ends(fleet):
+    """Accept connections of other nodes while one of their calls runs.
+
+    The port closed at the end of the notice. Probes for the call failed, and
+    the other node gave it up.
+    """
+    entry = fleet.callers_address('stock-1')
+    long_call = threading.Thread(
+        target=call,
+        args=(entry, '/yard'),
+        kwargs={'headers': {'x-work-ms': '2500'}},
+    )
+    long_call.start()
+    wait_until(lambda: fleet.status('yard-1')['in_flight'], 'long call')
+    fleet.signal('yard-1', signal.SIGTERM)
+    host = fleet.address(fleet.host('yard-1'), PEERS_PORT).split(':')[0]
+    refusals = 0
+    while long_call.is_alive():
+        try:
+            can_connect(host, PEERS_PORT)
+        except OSError:
+            refusals += is_call_running(fleet)
+    long_call.join()
+    assert not refusals
+
+
+def is_call_running(fleet):
+    """Tell whether a call runs at yard-1; False once the node is gone."""
+    try:
+        return fleet.status('yard-1')['in_flight'] > 0
+    except OSError:
+        return False
+
+
 def test_further_signals_cut_off_no_request(fleet):
     """Finish open requests though SIGTERM and SIGHUP come again and again.
 
--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -280,3 +280,24 @@
         return await served.receive_rest()
 
     assert run(work).endswith(b'/first')
+
+
+def test_server_waits_for_a_connection_that_is_being_accepted():
+    """Serve a caller whose connection the event loop has just accepted.
+
+    The server had no connection yet and ended, and the process after it, with
+    the request taken.
+    """
+
+    async def work(served):
+        served.caller.close()
+        await wait_until(lambda: not served.server.connections)
+        with socket.create_connection(ADDRESS) as fresh:
+            fresh.sendall(build_request('/fresh'))
+            served.server.stop()
+            await served.server.wait_stopped()
+            assert not served.server.connections
+            fresh.setblocking(False)
+            return fresh.recv(65536)
+
+    assert run(work).endswith(b'/fresh')
