Wait for connections that are being accepted while a server stops

A server without a connection ended at once, and the process after it, though the event loop had just accepted one: its protocol is connected a step later.

--- a/limpetshore/transport/call_server.py
+++ b/limpetshore/transport/call_server.py
@@ -84,8 +84,12 @@
             await loop.connect_accepted_socket(self.build_connection, accepted)
 
     async def drain_connections(self) -> None:
-        """Close connections as they become idle, for at most `graceful_s`."""
+        """Close connections as they become idle, for at most `graceful_s`.
+
+        The event loop may have accepted one that is not among them yet.
+        """
         deadline = clock.now() + self.graceful_s
+        await asyncio.sleep(STOP_POLL_INTERVAL_S)
         while self.connections and clock.now() < deadline:
             self.close_idle(IDLE_GRACE_S)
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
