Close the ports of a leaving node once its calls have ended

The port of peers closed at the end of the notice, so that probes for calls that ran on were refused, and a call that was read from a kept connection a moment later was dropped. It stays open while calls are open: probes are answered, and new calls are refused as not run. Both ports wait for calls that are admitted, not only for those that a server is at work on.

The test of the port pauses between its connections: without that, 2 of some thousand timed out (1 s) on the mended code, not understood. It fails as before on the old code.

--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -309,19 +309,21 @@
     async def finish_calls(self, timeout_s: float) -> None:
         """Wait for open requests, then stop all servers.
 
-        The callers' port stays open while calls run at the backend server,
-        which makes its nested calls through that port. Requests that are
-        still open after `timeout_s` seconds are aborted.
+        The ports stay open while calls are open: the backend server makes its
+        nested calls through that of callers, and other nodes ask for their
+        calls at that of peers. Requests that are still open after `timeout_s`
+        seconds are aborted.
         """
-        self.peers_server.stop()
+        call_servers = (self.callers_server, self.peers_server)
+        self.peers_server.disable_keep_alive()
         with anyio.move_on_after(timeout_s):
-            while self.guard.running_calls.calls:
+            while self.guard.open_calls:
                 await anyio.sleep(LEAVE_POLL_S)
-            self.callers_server.stop()
-            await self.peers_server.wait_stopped()
-            await self.callers_server.wait_stopped()
-        self.callers_server.stop()
-        for server in self.side_servers:
+            for server in call_servers:
+                server.stop()
+            for server in call_servers:
+                await server.wait_stopped()
+        for server in (*call_servers, *self.side_servers):
             server.stop()
 
     async def run_periodic_updates(self) -> None:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -149,6 +149,7 @@
     host = fleet.address(fleet.host('yard-1'), PEERS_PORT).split(':')[0]
     refusals = 0
     while long_call.is_alive():
+        threading.Event().wait(0.02)
         try:
             can_connect(host, PEERS_PORT)
         except OSError:
