Show what is cut off when a SIGTERM is handled late

A process that stands still when its SIGTERM comes counts the grace time from when it handles the signal, and takes requests up to its own exit time, which may lie after the kill.

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -11,6 +11,7 @@
 
 from limpetshore.decisions.drain_schedule import DrainSchedule
 from limpetshore.node import Node
+from limpetshore.protocol.messages import TIMEOUT_HEADER
 from standins.local_fleet import (
     PEERS_PORT,
     LocalFleet,
@@ -30,6 +31,9 @@
     'call': {'graceful_s': 4, 'drain_notice_s': 1},
 }
 WORK_MS = 600
+# Of the requests that come late, and of one that keeps the ports open.
+TIMEOUT_MS = 900
+LONG_WORK_MS = 5000
 
 
 @pytest.mark.parametrize(
@@ -209,6 +213,8 @@
 class KeptConnection(threading.Thread):
     """Send one request after the other on a connection until it ends."""
 
+    more_headers = {}
+
     def __init__(self, address, delay_s):
         """Send to a node, the first request after a delay."""
         super().__init__()
@@ -233,6 +239,7 @@
                         'authorization': f'Bearer {KEY}',
                         'x-request-id': request_id,
                         'x-work-ms': str(WORK_MS),
+                        **self.more_headers,
                     },
                 )
                 response = connection.getresponse()
@@ -274,3 +281,64 @@
     assert [key for key in runs if answers.get(key, 0) is None] == []
     assert sum(status == 200 for status in answers.values()) >= 6
     assert fleet.processes['yard-1'].returncode == 0
+
+
+class ReturningCaller(KeptConnection):
+    """Send one request after the other, on new connections as old ones end."""
+
+    more_headers = {TIMEOUT_HEADER.decode(): str(TIMEOUT_MS)}
+
+    def __init__(self, address, process):
+        """Send to a node until its process has ended."""
+        super().__init__(address, 0)
+        self.process = process
+
+    def run(self):
+        """Send until the process has ended."""
+        while self.process.poll() is None:
+            super().run()
+            threading.Event().wait(0.02)
+
+
+def test_request_is_not_cut_off_when_the_signal_is_handled_late(fleet):
+    """Count the time to the kill from when the signal can have come.
+
+    A process that stood still counted it from when it handled the signal. It
+    took requests that were cut off when it was killed.
+    """
+    entry = fleet.callers_address('yard-1')
+    process = fleet.processes['yard-1']
+    long_call = threading.Thread(
+        target=call_until_cut, args=(entry, '/yard', LONG_WORK_MS)
+    )
+    long_call.start()
+    wait_until(lambda: fleet.status('yard-1')['in_flight'], 'long call')
+    killer = threading.Timer(
+        SETTINGS['call']['graceful_s'], fleet.kill, ('yard-1',)
+    )
+    fleet.signal('yard-1', signal.SIGSTOP)
+    fleet.signal('yard-1', signal.SIGTERM)
+    killer.start()
+    threading.Event().wait(1.2)
+    fleet.signal('yard-1', signal.SIGCONT)
+    callers = [ReturningCaller(entry, process) for _ in range(6)]
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+    killer.join()
+    long_call.join()
+    runs = fleet.counts('stock-1')['runs']
+    answers = {}
+    for caller in callers:
+        answers.update(caller.answers)
+    assert [key for key in runs if answers.get(key, 0) is None] == []
+    assert 200 in answers.values()
+
+
+def call_until_cut(address, path, work_ms):
+    """Send a request that need not be answered."""
+    try:
+        call(address, path, headers={'x-work-ms': str(work_ms)})
+    except (http.client.HTTPException, OSError):
+        return
