Count the grace time from when the signal can have come

It was counted from when the signal was handled: a process without processor time, or stopped, took requests that it could not end before it was killed. The event loop records when it runs, ten times a second, and a signal that is handled after a stall counts from before that stall. The notice still lasts its full time from the handling, unless that would take more than half of the grace time; requests that come later must end before the exit.

The tests of the schedule give the time of the signal now; what they expect is the same.

--- a/limpetshore/decisions/drain_schedule.py
+++ b/limpetshore/decisions/drain_schedule.py
@@ -2,9 +2,11 @@
 
 from limpetshore import clock
 
-# Shares of the grace time: the longest notice before the ports close, and when
-# the node ends what is still open, so that it exits before it is killed.
+# Shares of the grace time: the longest notice before the ports close, when it
+# ends at the latest, and when the node ends what is still open, so that it
+# exits before it is killed.
 MAX_NOTICE_SHARE = 1 / 3
+NOTICE_END_SHARE = 1 / 2
 EXIT_SHARE = 0.9
 
 
@@ -14,35 +16,47 @@
     During the notice all requests are taken, since callers do not know yet that
     the node stops. From then on only those whose deadline lies before the exit,
     since any other may be cut off.
+
+    The grace time runs from when the signal was sent, the notice from when the
+    node has handled it.
     """
 
     def __init__(self, graceful_s: float, notice_s: float) -> None:
         """Set how long the node may take to stop; `start` begins that time."""
         self.graceful_s = graceful_s
         self.notice_s = min(notice_s, MAX_NOTICE_SHARE * graceful_s)
-        self.started_at = clock.NO_DEADLINE
+        self.signalled_at = clock.NO_DEADLINE
+        self.notice_end = clock.NO_DEADLINE
 
-    def start(self) -> None:
-        """Begin the grace time."""
-        self.started_at = clock.now()
+    def start(self, signalled_at: float) -> None:
+        """Begin the notice; the signal came at `signalled_at` or later."""
+        self.signalled_at = signalled_at
+        self.notice_end = min(
+            clock.now() + self.notice_s,
+            signalled_at + NOTICE_END_SHARE * self.graceful_s,
+        )
 
     @property
     def exit_at(self) -> float:
         """Return when the node ends all that is still open."""
-        return self.started_at + EXIT_SHARE * self.graceful_s
+        return self.signalled_at + EXIT_SHARE * self.graceful_s
 
     @property
     def remaining_s(self) -> float:
         """Return the seconds until the exit."""
         return max(0, self.exit_at - clock.now())
 
+    @property
+    def remaining_notice_s(self) -> float:
+        """Return the seconds until the end of the notice."""
+        return max(0, self.notice_end - clock.now())
+
     def may_take(self, end_at: float) -> bool:
         """Tell whether to take a request that ends at `end_at` at the latest.
 
         >>> schedule = DrainSchedule(6, 2)
-        >>> schedule.started_at = 0
+        >>> schedule.signalled_at = 0
         >>> schedule.may_take(5.3), round(schedule.exit_at, 3)
         (True, 5.4)
         """
-        notice_end = self.started_at + self.notice_s
-        return end_at <= self.exit_at or clock.now() < notice_end
+        return end_at <= self.exit_at or clock.now() < self.notice_end
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -43,7 +43,7 @@
     hold_signals,
     log_hangups,
 )
-from limpetshore.stalls import sleep_watchfully
+from limpetshore.stalls import LoopTicks, sleep_watchfully
 from limpetshore.state.fencing import FencingState
 from limpetshore.state.members import MemberTable, Status
 from limpetshore.state.policies import PolicyIndex
@@ -238,13 +238,15 @@
         # Further signals must not end the process before its open requests.
         with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
             await self.start()
+            ticks = LoopTicks()
+            self.tasks.start_soon(run_supervised, self.metrics, ticks.run)
             deliver_signals()
             logger.info(
                 'the node accepts calls',
                 extra={'callers': self.settings.listen.callers},
             )
             await anext(signals)
-            await self.leave()
+            await self.leave(ticks.find_earliest_arrival())
             self.control_server.stop()
             await self.control_server.wait_stopped()
             self.gossip.client.close()
@@ -252,15 +254,18 @@
             hold_signals()
         self.tasks.cancel_scope.cancel()
 
-    async def leave(self) -> None:
-        """Announce the departure, finish open requests, stop the servers."""
+    async def leave(self, signalled_at: float) -> None:
+        """Announce the departure, finish open requests, stop the servers.
+
+        The signal came at `signalled_at` or later.
+        """
         logger.info('the node is leaving the fleet')
         drain = self.ingress.drain
-        drain.start()
+        drain.start(signalled_at)
         self.announce_leaving()
         if self.grants_budgets:
             await self.ledger_repair.release()
-        await anyio.sleep(drain.notice_s)
+        await anyio.sleep(drain.remaining_notice_s)
         await self.finish_calls(drain.remaining_s)
         logger.info('the node has left the fleet')
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -9,6 +9,7 @@
 import anyio
 import pytest
 
+from limpetshore import clock
 from limpetshore.decisions.drain_schedule import DrainSchedule
 from limpetshore.node import Node
 from limpetshore.protocol.messages import TIMEOUT_HEADER
@@ -58,9 +59,9 @@
 
     async def run():
         schedule = DrainSchedule(6, 2)
-        schedule.start()
+        schedule.start(clock.now())
         await anyio.sleep(after_s)
-        return schedule.may_take(schedule.started_at + after_s + lasts_s)
+        return schedule.may_take(clock.now() + lasts_s)
 
     assert run_on_mock_clock(run) == is_taken
 
@@ -70,9 +71,9 @@
 
     async def run():
         schedule = DrainSchedule(60, 2)
-        schedule.start()
+        schedule.start(clock.now())
         await anyio.sleep(48)
-        return schedule.may_take(schedule.started_at + 53)
+        return schedule.may_take(clock.now() + 5)
 
     assert run_on_mock_clock(run)
 
@@ -82,13 +83,39 @@
 
     async def run():
         schedule = DrainSchedule(1.5, 2)
-        schedule.start()
-        await anyio.sleep(schedule.notice_s)
+        schedule.start(clock.now())
+        await anyio.sleep(schedule.remaining_notice_s)
         return schedule.remaining_s
 
     assert run_on_mock_clock(run) >= 0.8
 
 
+@pytest.mark.parametrize(
+    ('late_s', 'after_s', 'lasts_s', 'is_taken'),
+    [
+        (0.9, 1.9, 60, True),
+        (1.5, 1.4, 60, True),
+        (1.5, 1.6, 60, False),
+        (1.5, 1.6, 2.2, True),
+        (1.5, 1.6, 2.4, False),
+        (5.5, 0, 0.1, False),
+    ],
+)
+def test_grace_time_counts_from_the_signal(late_s, after_s, lasts_s, is_taken):
+    """Leave time to end what is taken, though the signal was handled late.
+
+    The notice gives way only if it would take more than half of the time.
+    """
+
+    async def run():
+        schedule = DrainSchedule(6, 2)
+        schedule.start(clock.now() - late_s)
+        await anyio.sleep(after_s)
+        return schedule.may_take(clock.now() + lasts_s)
+
+    assert run_on_mock_clock(run) == is_taken
+
+
 class StoppableServer:
     """Record when a server is stopped."""
 
