--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -43,7 +43,7 @@
     hold_signals,
     log_hangups,
 )
-from limpetshore.stalls import sleep_watchfully
+from limpetshore.stalls import LoopTicks, sleep_watchfully
 from limpetshore.state.fencing import FencingState
 from limpetshore.state.members import MemberTable, Status
 from limpetshore.state.policies import PolicyIndex
@@ -238,34 +238,43 @@
         # Further signals must not end the process before its open requests.
         with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
             await self.start()
+            ticks = LoopTicks()
+            self.tasks.start_soon(run_supervised, self.metrics, ticks.run)
             deliver_signals()
             logger.notice(
                 'the node accepts calls',
                 extra={'callers': self.settings.listen.callers},
             )
             await anext(signals)
-            await self.leave()
-            self.control_server.stop()
-            await self.control_server.wait_stopped()
-            self.gossip.client.close()
+            await self.leave(ticks.find_earliest_arrival())
+            await self.stop_control()
             self.log_left()
             # The receivers restore the default actions when they are closed.
             hold_signals()
         self.tasks.cancel_scope.cancel()
 
-    async def leave(self) -> None:
-        """Announce the departure, finish open requests, stop the servers."""
+    async def leave(self, signalled_at: float) -> None:
+        """Announce the departure, finish open requests, stop the servers.
+
+        The signal came at `signalled_at` or later.
+        """
         logger.notice(
             'the node is leaving the fleet', extra=self.count_open('open')
         )
         drain = self.ingress.drain
-        drain.start()
+        drain.start(signalled_at)
         self.announce_leaving()
         if self.grants_budgets:
             await self.ledger_repair.release()
-        await anyio.sleep(drain.notice_s)
+        await anyio.sleep(drain.remaining_notice_s)
         await self.finish_calls(drain.remaining_s)
 
+    async def stop_control(self) -> None:
+        """Stop serving and sending control messages."""
+        self.control_server.stop()
+        await self.control_server.wait_stopped()
+        self.gossip.client.close()
+
     def log_left(self) -> None:
         """Log what is still open, and is aborted with the event loop."""
         logger.notice(
@@ -330,20 +339,20 @@
     async def finish_calls(self, timeout_s: float) -> None:
         """Wait for open requests, then stop all servers.
 
-        The ports stay open while calls run at the backend server: it makes
-        its nested calls through that of the callers, and other nodes probe
-        their calls at the other one. Requests that are still open after
-        `timeout_s` seconds are aborted.
+        The ports stay open while calls are open: the backend server makes its
+        nested calls through that of callers, and other nodes probe their calls
+        at that of peers. Requests that are still open after `timeout_s`
+        seconds are aborted.
         """
-        servers = (self.peers_server, self.callers_server)
+        call_servers = (self.callers_server, self.peers_server)
         with anyio.move_on_after(timeout_s):
-            while self.guard.running_calls.calls:
+            while self.guard.open_calls:
                 await anyio.sleep(LEAVE_POLL_S)
-            for server in servers:
+            for server in call_servers:
                 server.stop()
-            for server in servers:
+            for server in call_servers:
                 await server.wait_stopped()
-        for server in (*servers, *self.side_servers):
+        for server in (*call_servers, *self.side_servers):
             server.stop()
 
     async def run_periodic_updates(self) -> None:
--- a/limpetshore/transport/server_connection.py
+++ b/limpetshore/transport/server_connection.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import http
-import select
 import socket
 from abc import ABC, abstractmethod
 from collections import deque
@@ -15,6 +14,7 @@
 from logbook import Logger
 
 from limpetshore import clock
+from limpetshore.transport.connection_end import ConnectionEnd
 from limpetshore.transport.http_client import TCP_USER_TIMEOUT_MS, wake_waiter
 from limpetshore.transport.lost_answers import report_dropped, report_unsent
 from limpetshore.transport.server_request import ServerRequest
@@ -40,7 +40,7 @@
     async def serve(self, request: ServerRequest) -> None:
         """Answer one request.
 
-        If the answer is incomplete at the end, the connection is aborted.
+        If the answer is incomplete at the end, the connection is cut.
         """
 
     def count_lost_answer(self) -> None:
@@ -63,6 +63,7 @@
         self.server = server
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
+        self.end: ConnectionEnd | None = None
         self.parser = httptools.HttpRequestParser(self)
         self.peer_host = ''
         self.open_requests: deque[ServerRequest] = deque()
@@ -72,6 +73,7 @@
         self.discarded_at = clock.now()
         self.header_bytes = 0
         self.is_in_headers = True
+        self.has_begun_head = False
         self.is_paused = False
         self.is_disconnected = False
         self.is_malformed = False
@@ -82,6 +84,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit how long sent bytes may stay unacknowledged."""
         self.transport = transport
+        self.end = ConnectionEnd(transport)
         # A caller that has already reset the connection has no name.
         peer_name = transport.get_extra_info('peername') or ('', 0)
         self.peer_host = peer_name[0]
@@ -98,10 +101,7 @@
         self.server.connections.discard(self)
         wake_waiter(self.write_waiter)
         for request in self.open_requests:
-            wake_waiter(request.body_waiter)
-            wake_waiter(request.turn_waiter)
-            if not request.survives_disconnect:
-                request.task.cancel()
+            request.abandon()
 
     def data_received(self, received: bytes) -> None:
         """Parse requests; refuse bytes that are not HTTP, and close."""
@@ -136,6 +136,8 @@
     def on_message_begin(self) -> None:
         """Create the next request."""
         self.receiving = ServerRequest(self)
+        self.has_begun_head = True
+        self.idle_since = clock.now()
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target, which may arrive in parts."""
@@ -148,12 +150,9 @@
         self.receiving.headers.append((name.lower(), value.rstrip(b' \t')))
 
     def on_headers_complete(self) -> None:
-        """Start the task that answers the request.
-
-        While the server stops, a request behind an open one is not taken: its
-        caller sends it again when the connection has closed.
-        """
-        if self.server.is_stopping and self.open_requests:
+        """Start the task that answers the request, if it is taken."""
+        self.has_begun_head = False
+        if not self.may_take_request:
             self.is_discarding = True
         if self.is_discarding:
             self.receiving.is_body_discarded = True
@@ -201,15 +200,16 @@
     def finish_handled(self) -> None:
         """Remove handled requests in order, so that the next one can send.
 
-        An incomplete answer aborts the connection, and an answer with
+        An incomplete answer cuts the connection, and an answer with
         `connection: close` closes it.
         """
         while self.open_requests and self.open_requests[0].is_handled:
             request = self.open_requests.popleft()
             report_unsent(self, (request,))
             if not request.is_answered:
-                self.abort()
+                self.cut()
                 return report_unsent(self, self.open_requests)
+            self.end.mark_whole()
             if not request.is_kept_alive:
                 self.close()
                 return report_unsent(self, self.open_requests)
@@ -231,16 +231,18 @@
         return request.is_kept_alive and not is_closing
 
     @property
-    def is_idle(self) -> bool:
-        """Tell whether no request is open."""
-        return not self.open_requests
+    def may_take_request(self) -> bool:
+        """Tell whether to take a request that arrives now.
 
-    @property
-    def has_unread_bytes(self) -> bool:
-        """Tell whether bytes have arrived since the event loop last read."""
-        poller = select.poll()
-        poller.register(self.transport.get_extra_info('socket'), select.POLLIN)
-        return bool(poller.poll(0))
+        While the server stops, none is taken behind one that is not answered:
+        its caller sends it again when the connection has closed. The caller of
+        a complete answer sends the next one before the task has ended.
+        """
+        if self.open_requests and not self.open_requests[-1].is_kept_alive:
+            return False
+        return not self.server.is_stopping or all(
+            request.is_answered for request in self.open_requests
+        )
 
     def pause_reading(self) -> None:
         """Stop reading from the socket, so that TCP slows the caller down."""
@@ -269,6 +271,7 @@
             request = self.open_requests[0] if self.open_requests else None
             report_dropped(self, request, (chunk,))
         elif not self.is_disconnected:
+            self.end.written_bytes += len(chunk)
             self.transport.write(chunk)
 
     async def drain(self) -> None:
@@ -278,9 +281,11 @@
 
     def close_idle(self) -> None:
         """Close if no request is open and none has arrived unread."""
-        if not self.is_idle or self.is_lingering:
+        if self.open_requests or self.is_lingering:
             return
-        if self.has_unread_bytes:
+        if self.transport.is_closing():
+            return
+        if self.end.has_unread_bytes:
             logger.info(
                 'an idle connection of {0} stays open: bytes are unread',
                 self.peer_host,
@@ -289,33 +294,47 @@
         self.close()
 
     def close(self) -> None:
-        """Close after all written bytes are sent; discard what still comes.
+        """Close after all written bytes are received; discard what comes.
 
-        A connection that is closed with unread bytes is reset, and its caller
-        may lose the end of an answer.
+        A socket that is closed earlier, or with unread bytes, may reset the
+        connection, and its caller may lose the end of an answer.
         """
-        if self.is_lingering or self.is_disconnected:
+        if self.is_lingering or self.transport.is_closing():
             return
         self.is_lingering = True
         self.is_ended_here = True
         self.is_discarding = True
         self.resume_reading()
-        self.transport.write_eof()
+        self.end.send_end()
         self.loop.call_later(LINGER_S, self.end_linger)
 
     def end_linger(self) -> None:
-        """Close the socket once all is sent and nothing comes any more."""
-        if self.is_disconnected:
+        """Close the socket once all is received and nothing comes any more."""
+        if self.transport.is_closing():
             return
-        is_sent = not self.transport.get_write_buffer_size()
         is_quiet = clock.now() >= self.discarded_at + LINGER_S
-        if is_sent and is_quiet:
+        if is_quiet and not self.end.unreceived_bytes:
             self.transport.close()
         else:
             self.loop.call_later(LINGER_S, self.end_linger)
 
+    def cut(self) -> None:
+        """End the connection behind an incomplete answer.
+
+        It is aborted, so that its caller sees at once that the answer is
+        truncated, unless whole answers are still on their way.
+        """
+        if self.transport.is_closing():
+            return
+        if not self.end.has_unreceived_answers:
+            self.abort()
+            return
+        self.close()
+        for request in self.open_requests:
+            request.abandon()
+
     def abort(self) -> None:
-        """Close at once, so that an incomplete answer is seen as truncated."""
+        """Close at once; discard what is not sent yet."""
         if not self.is_disconnected:
             self.is_ended_here = True
         if self.transport is not None:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -11,9 +11,16 @@
 import anyio
 import pytest
 
+from limpetshore import clock
 from limpetshore.decisions.drain_schedule import DrainSchedule
 from limpetshore.node import Node
-from standins.local_fleet import LocalFleet, wait_until
+from limpetshore.protocol.messages import TIMEOUT_HEADER
+from standins.local_fleet import (
+    PEERS_PORT,
+    LocalFleet,
+    can_connect,
+    wait_until,
+)
 from tests.builders import KEY, SHORT_FLEET_PERIODS, build_ticket_tables
 from tests.mock_clock import run_on_mock_clock
 from tests.support import call, new_request_id
@@ -27,6 +34,9 @@
     'call': {'graceful_s': 4, 'drain_notice_s': 1},
 }
 WORK_MS = 600
+# Of the requests that come late, and of one that keeps the ports open.
+TIMEOUT_MS = 900
+LONG_WORK_MS = 5000
 
 
 @pytest.mark.parametrize(
@@ -51,9 +61,9 @@
 
     async def run():
         schedule = DrainSchedule(6, 2)
-        schedule.start()
+        schedule.start(clock.now())
         await anyio.sleep(after_s)
-        return schedule.may_take(schedule.started_at + after_s + lasts_s)
+        return schedule.may_take(clock.now() + lasts_s)
 
     assert run_on_mock_clock(run) == is_taken
 
@@ -63,9 +73,9 @@
 
     async def run():
         schedule = DrainSchedule(60, 2)
-        schedule.start()
+        schedule.start(clock.now())
         await anyio.sleep(48)
-        return schedule.may_take(schedule.started_at + 53)
+        return schedule.may_take(clock.now() + 5)
 
     assert run_on_mock_clock(run)
 
@@ -75,52 +85,120 @@
 
     async def run():
         schedule = DrainSchedule(1.5, 2)
-        schedule.start()
-        await anyio.sleep(schedule.notice_s)
+        schedule.start(clock.now())
+        await anyio.sleep(schedule.remaining_notice_s)
         return schedule.remaining_s
 
     assert run_on_mock_clock(run) >= 0.8
 
 
+@pytest.mark.parametrize(
+    ('late_s', 'after_s', 'lasts_s', 'is_taken'),
+    [
+        (0.9, 1.9, 60, True),
+        (1.5, 1.4, 60, True),
+        (1.5, 1.6, 60, False),
+        (1.5, 1.6, 2.2, True),
+        (1.5, 1.6, 2.4, False),
+        (5.5, 0, 0.1, False),
+    ],
+)
+def test_grace_time_counts_from_the_signal(late_s, after_s, lasts_s, is_taken):
+    """Leave time to end what is taken, though the signal was handled late.
+
+    The notice gives way only if it would take more than half of the time.
+    """
+
+    async def run():
+        schedule = DrainSchedule(6, 2)
+        schedule.start(clock.now() - late_s)
+        await anyio.sleep(after_s)
+        return schedule.may_take(clock.now() + lasts_s)
+
+    assert run_on_mock_clock(run) == is_taken
+
+
 class StoppableServer:
-    """Stand for a server whose connections end at once."""
+    """Record when a server is stopped."""
+
+    def __init__(self):
+        """Start as a server that runs."""
+        self.is_stopped = False
 
-    is_stopping = False
+    def disable_keep_alive(self):
+        """Accept that callers are told to connect elsewhere."""
 
     def stop(self):
-        """Close the port."""
-        self.is_stopping = True
+        """Record the stop."""
+        self.is_stopped = True
 
     async def wait_stopped(self):
         """Return at once."""
 
 
-def test_ports_stay_open_while_calls_run():
-    """Answer the probes of other nodes as long as their calls run here.
+def test_ports_stay_open_while_a_call_waits_for_its_server():
+    """Keep the ports while a call is admitted that its server has not begun.
 
-    The port for other nodes closed after the notice, so that each probe of a
-    call that still ran was refused, and the call was given up.
+    Only calls that a server was at work on kept the port open through which it
+    makes its own, and none the port at which other nodes ask for the call.
     """
 
     async def run():
-        calls = {'token': 'call'}
+        servers = [StoppableServer(), StoppableServer()]
+        guard = SimpleNamespace(
+            open_calls={'queued'}, running_calls=SimpleNamespace(calls={})
+        )
         node = SimpleNamespace(
-            peers_server=StoppableServer(),
-            callers_server=StoppableServer(),
+            guard=guard,
+            callers_server=servers[0],
+            peers_server=servers[1],
             side_servers=[],
-            guard=SimpleNamespace(running_calls=SimpleNamespace(calls=calls)),
         )
-        servers = (node.peers_server, node.callers_server)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(Node.finish_calls, node, 5)
-            await anyio.sleep(2)
-            seen = [server.is_stopping for server in servers]
-            calls.clear()
-        return seen, [server.is_stopping for server in servers]
+            tasks.start_soon(Node.finish_calls, node, 10)
+            await anyio.sleep(5)
+            stopped_early = [server.is_stopped for server in servers]
+            guard.open_calls.clear()
+        return stopped_early, [server.is_stopped for server in servers]
 
     assert run_on_mock_clock(run) == ([False, False], [True, True])
 
 
+def test_node_can_be_asked_for_a_call_until_that_ends(fleet):
+    """Accept connections of other nodes while one of their calls runs.
+
+    The port closed at the end of the notice. Probes for the call failed, and
+    the other node gave it up.
+    """
+    entry = fleet.callers_address('stock-1')
+    long_call = threading.Thread(
+        target=call,
+        args=(entry, '/yard'),
+        kwargs={'headers': {'x-work-ms': '2500'}},
+    )
+    long_call.start()
+    wait_until(lambda: fleet.status('yard-1')['in_flight'], 'long call')
+    fleet.signal('yard-1', signal.SIGTERM)
+    host = fleet.address(fleet.host('yard-1'), PEERS_PORT).split(':')[0]
+    refusals = 0
+    while long_call.is_alive():
+        threading.Event().wait(0.02)
+        try:
+            can_connect(host, PEERS_PORT)
+        except OSError:
+            refusals += is_call_running(fleet)
+    long_call.join()
+    assert not refusals
+
+
+def is_call_running(fleet):
+    """Tell whether a call runs at yard-1; False once the node is gone."""
+    try:
+        return fleet.status('yard-1')['in_flight'] > 0
+    except OSError:
+        return False
+
+
 def test_further_signals_cut_off_no_request(fleet):
     """Finish open requests though SIGTERM and SIGHUP come again and again.
 
@@ -164,6 +242,8 @@
 class KeptConnection(threading.Thread):
     """Send one request after the other on a connection until it ends."""
 
+    more_headers = {}
+
     def __init__(self, address, delay_s):
         """Send to a node, the first request after a delay."""
         super().__init__()
@@ -188,6 +268,7 @@
                         'authorization': f'Bearer {KEY}',
                         'x-request-id': request_id,
                         'x-work-ms': str(WORK_MS),
+                        **self.more_headers,
                     },
                 )
                 response = connection.getresponse()
@@ -231,6 +312,67 @@
     assert fleet.processes['yard-1'].returncode == 0
 
 
+class ReturningCaller(KeptConnection):
+    """Send one request after the other, on new connections as old ones end."""
+
+    more_headers = {TIMEOUT_HEADER.decode(): str(TIMEOUT_MS)}
+
+    def __init__(self, address, process):
+        """Send to a node until its process has ended."""
+        super().__init__(address, 0)
+        self.process = process
+
+    def run(self):
+        """Send until the process has ended."""
+        while self.process.poll() is None:
+            super().run()
+            threading.Event().wait(0.02)
+
+
+def test_request_is_not_cut_off_when_the_signal_is_handled_late(fleet):
+    """Count the time to the kill from when the signal can have come.
+
+    A process that stood still counted it from when it handled the signal. It
+    took requests that were cut off when it was killed.
+    """
+    entry = fleet.callers_address('yard-1')
+    process = fleet.processes['yard-1']
+    long_call = threading.Thread(
+        target=call_until_cut, args=(entry, '/yard', LONG_WORK_MS)
+    )
+    long_call.start()
+    wait_until(lambda: fleet.status('yard-1')['in_flight'], 'long call')
+    killer = threading.Timer(
+        SETTINGS['call']['graceful_s'], fleet.kill, ('yard-1',)
+    )
+    fleet.signal('yard-1', signal.SIGSTOP)
+    fleet.signal('yard-1', signal.SIGTERM)
+    killer.start()
+    threading.Event().wait(1.2)
+    fleet.signal('yard-1', signal.SIGCONT)
+    callers = [ReturningCaller(entry, process) for _ in range(6)]
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+    killer.join()
+    long_call.join()
+    runs = fleet.counts('stock-1')['runs']
+    answers = {}
+    for caller in callers:
+        answers.update(caller.answers)
+    assert [key for key in runs if answers.get(key, 0) is None] == []
+    assert 200 in answers.values()
+
+
+def call_until_cut(address, path, work_ms):
+    """Send a request that need not be answered."""
+    try:
+        call(address, path, headers={'x-work-ms': str(work_ms)})
+    except (http.client.HTTPException, OSError):
+        return
+
+
 def read_log(fleet, name):
     """Return the log lines of a node that has ended."""
     lines = (fleet.folder / f'{name}.log').read_text().splitlines()
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -8,6 +8,7 @@
 import logbook
 import pytest
 
+from limpetshore import clock
 from limpetshore.decisions.drain_schedule import DrainSchedule
 from limpetshore.decisions.retry_budgets import RetryBudget
 from limpetshore.metrics import Metrics
@@ -82,7 +83,7 @@
         handler = build_handler(state, anyio.current_time(), tried)
         if is_leaving:
             await anyio.sleep(after_s - LEAVING_S)
-            state.drain.start()
+            state.drain.start(clock.now())
             await anyio.sleep(LEAVING_S)
         else:
             await anyio.sleep(after_s)
