Tell answers that the node drops from those whose caller has closed

In all of them the node had not ended the connection: the caller had closed its side, most often since its own call was given up, and a process short of processor time read that and finished the answer in the same turn. Such lines would use up the budget of those on lost work.

They are INFO lines now; where the node ended the connection the line stays NOTICE. ended_by, in the line and as a label of limpetshore_lost_answers, tells the two apart: a caller that has closed its side only may still read.

tests/test_call_server.py and tests/test_ingress.py pass, three times each.

--- a/limpetshore/metrics.py
+++ b/limpetshore/metrics.py
@@ -60,8 +60,8 @@
         )
         self.lost_answers = Counter(
             'limpetshore_lost_answers',
-            'Answers with bytes dropped on a closing connection, by role',
-            ('role',),
+            'Answers with bytes dropped, by role and who ended the connection',
+            ('role', 'ended_by'),
             registry=registry,
         )
         self.answer_latency = AnswerLatencyCollector(ROLES)
--- a/limpetshore/routing/ingress.py
+++ b/limpetshore/routing/ingress.py
@@ -48,9 +48,9 @@
             if not request.is_answered:
                 handler.log_cut()
 
-    def count_lost_answer(self) -> None:
+    def count_lost_answer(self, ended_by: str) -> None:
         """Count an answer whose bytes were dropped."""
-        self.metrics.lost_answers.labels('ingress').inc()
+        self.metrics.lost_answers.labels('ingress', ended_by).inc()
 
 
 def read_host(headers: Headers) -> str:
--- a/limpetshore/routing/peer_app.py
+++ b/limpetshore/routing/peer_app.py
@@ -67,9 +67,9 @@
             self.guard.metrics.report_defect('guard')
             raise
 
-    def count_lost_answer(self) -> None:
+    def count_lost_answer(self, ended_by: str) -> None:
         """Count an answer whose bytes were dropped."""
-        self.guard.metrics.lost_answers.labels('guard').inc()
+        self.guard.metrics.lost_answers.labels('guard', ended_by).inc()
 
     async def serve_call(
         self,
--- a/limpetshore/transport/lost_answers.py
+++ b/limpetshore/transport/lost_answers.py
@@ -9,11 +9,14 @@
 
 logger = Logger(__name__)
 
+ENDED_BY_NODE = 'node'
+ENDED_BY_CALLER = 'caller'
+
 
 class CountingApp(Protocol):
     """Declare the part of an application that counts."""
 
-    def count_lost_answer(self) -> None:
+    def count_lost_answer(self, ended_by: str) -> None:
         """Count an answer whose bytes are dropped."""
 
 
@@ -54,7 +57,8 @@
 ) -> None:
     """Log and count dropped bytes of an answer, once for each request.
 
-    An answer is not lost if its caller has disconnected.
+    An answer is not lost if its caller has disconnected. One that has closed
+    its side has most likely left, too, but may still read.
     """
     if connection.is_disconnected:
         return
@@ -62,14 +66,17 @@
         if request.has_lost_bytes:
             return
         request.has_lost_bytes = True
-    connection.server.app.count_lost_answer()
-    logger.notice(
+    is_ended_here = connection.is_ended_here
+    ended_by = ENDED_BY_NODE if is_ended_here else ENDED_BY_CALLER
+    connection.server.app.count_lost_answer(ended_by)
+    logger.log(
+        'NOTICE' if is_ended_here else 'INFO',
         'bytes of an answer were dropped, the connection is closing',
         extra={
             'request_id': request.request_id if request else '',
             'peer': connection.peer_host,
             'dropped_bytes': sum(map(len, chunks)),
-            'is_ended_here': connection.is_ended_here,
+            'ended_by': ended_by,
             'is_lingering': connection.is_lingering,
         },
     )
--- a/limpetshore/transport/server_connection.py
+++ b/limpetshore/transport/server_connection.py
@@ -43,8 +43,11 @@
         If the answer is incomplete at the end, the connection is aborted.
         """
 
-    def count_lost_answer(self) -> None:
-        """Count an answer whose bytes were dropped; not counted by default."""
+    def count_lost_answer(self, ended_by: str) -> None:
+        """Count an answer whose bytes were dropped; not counted by default.
+
+        `ended_by` is `node` or `caller`.
+        """
 
 
 class ConnectionServer(Protocol):
