Wait on for an answer that a probe has overtaken

The node asks on a new connection whether a call still runs. If it has ended, the answer was waited for 0.25 s and then given up with 502, also by a node that is leaving, though the other node had sent it: one segment that is sent again twice takes longer. And after two probes without an answer the call was given up without a look at its own connection, where the answer may have come meanwhile.

A node that is leaving now waits until the deadline, as for silent nodes, and each call is given up only after one more wait for its head. A node that isn't leaving gives up as before, 0.25 s later if the other one is unreachable.

Both tests fail on. Found by reading; not seen in a run of a fleet.

--- a/limpetshore/routing/peer_calls.py
+++ b/limpetshore/routing/peer_calls.py
@@ -132,7 +132,9 @@
                 continue
             schedule.restart(clock.now())
             if await self.probe_answer_lost(request):
-                return await self.wait_grace_period()
+                head = await self.wait_grace_period(request)
+                if head is not None:
+                    return head
         raise refuse(
             Reason.DEADLINE,
             'no answer before the deadline',
@@ -140,18 +142,14 @@
         )
 
     async def probe_answer_lost(self, request: OutboundRequest) -> bool:
-        """Probe the other node; tell whether the answer was lost.
+        """Probe the other node; tell whether the answer seems lost.
 
-        Raise if the node is unreachable or the call did not arrive there.
+        Raise if the call did not arrive there.
         """
         reply = await self.probe(request)
         if reply is None:
             self.lost_probes += 1
-            if self.lost_probes >= MAX_LOST_PROBES and request.may_give_up():
-                raise build_silent_error(
-                    'the other node cannot be reached any more'
-                )
-            return False
+            return self.lost_probes >= MAX_LOST_PROBES
         self.lost_probes = 0
         self.pool.last_received_at = clock.now()
         return await self.is_answer_lost(reply)
@@ -195,15 +193,23 @@
         self.pool.close_idle()
         raise build_silent_error('the call did not arrive', Verdict.NOT_RUN)
 
-    async def wait_grace_period(self) -> ResponseHead:
-        """Wait briefly for an answer that may still be in transit."""
-        try:
+    async def wait_grace_period(
+        self, request: OutboundRequest
+    ) -> ResponseHead | None:
+        """Wait briefly for an answer that may still be in transit.
+
+        Then give the call up, or return None if it must be waited for.
+        """
+        with contextlib.suppress(TimeoutError):
             return await self.connection.read_head(ANSWER_GRACE_S)
-        except TimeoutError as error:
-            self.pool.close_idle()
+        if not request.may_give_up():
+            return None
+        if self.lost_probes:
             raise build_silent_error(
-                'the answer was lost on the way'
-            ) from error
+                'the other node cannot be reached any more'
+            )
+        self.pool.close_idle()
+        raise build_silent_error('the answer was lost on the way')
 
     async def probe_verdict(self, request: OutboundRequest) -> Verdict:
         """Probe whether a call can have run before its connection broke."""
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -155,6 +155,43 @@
     assert run_on_mock_clock(run) == 'head'
 
 
+class EndedProbes(CountedProbes):
+    """Answer probes: the call has ended, so that its answer is under way."""
+
+    async def probe(self, request):
+        """Return that the call does not run any more."""
+        return ProbeReply(has_arrived=True, is_running=False)
+
+
+def test_leaving_node_waits_for_an_answer_on_its_way():
+    """Give up no answer that the other node has sent, while leaving.
+
+    A probe overtakes an answer whose segment is sent again: the node ended
+    the request with 502, though the server had answered.
+    """
+
+    async def run():
+        exchange = EndedProbes(QuietPool(), SILENCE_S, 10, QUIET_S)
+        exchange.connection = DelayedConnection(1.2)
+        request = WaitingRequest(0.5)
+        request.is_given_up = False
+        return await exchange.wait_head(request)
+
+    assert run_on_mock_clock(run) == 'head'
+
+
+def test_answer_that_came_during_the_last_probe_is_not_given_up():
+    """Take an answer that has arrived, though no probe was answered."""
+
+    async def run():
+        exchange = CountedProbes(QuietPool(), SILENCE_S, 10, QUIET_S)
+        exchange.is_dead = True
+        exchange.connection = DelayedConnection(2.4)
+        return await exchange.wait_head(WaitingRequest(0.5))
+
+    assert run_on_mock_clock(run) == 'head'
+
+
 def test_refused_probe_does_not_say_that_a_call_is_lost():
     """Take a closed port for that of a node that finishes its calls.
 
