Let a short answer win over a late one only once it is whole

Two servers are asked while an answer is late, and the one whose head came first won: the other call was closed. If the body behind that head was cut off, the request ended with 502, or was sent once more, while the first server was at work.

The test fails on: the caller got a refusal, truncated.

--- a/limpetshore/routing/attempt.py
+++ b/limpetshore/routing/attempt.py
@@ -90,8 +90,27 @@
         """Wait on for the head of a late answer."""
         return self.exchange.resume(self.sent._replace(overdue_after_s=None))
 
-    async def deliver(self, answer: Answer) -> None:
-        """Relay an answer and record its outcome once it is complete."""
+    async def receive(self, answer: Answer) -> bytes | None:
+        """Record the head of an answer; return the body of a short one.
+
+        A short answer is buffered until it is complete. One that is truncated
+        can then still be refused, or lose to that of another server.
+        """
+        self.record_head(answer)
+        exchange = self.exchange
+        length = get_header(answer.head.headers, b'content-length')
+        if length is None or int(length) > MAX_BUFFERED_ANSWER_BYTES:
+            return None
+        body = exchange.take_buffered_body()
+        if body is None:
+            deadline = self.call.origin.context.deadline
+            body = await read_answer_body(exchange, deadline)
+        # Free the slot first, so that a slow caller does not occupy it.
+        await exchange.close()
+        return body
+
+    def record_head(self, answer: Answer) -> None:
+        """Record what the head of an answer says."""
         state = self.state
         waited_s = clock.now() - self.sent_at
         self.spent = answer.meta.retries_spent
@@ -103,32 +122,29 @@
             is_downstream_overload=has_failed
             and answer.meta.downstream_level > MIN_DOWNSTREAM_OVERLOAD_LEVEL,
         )
-        await self.relay(answer)
-        self.record_complete_answer(answer)
-        if self.call.is_nested:
-            state.guard.nested_refusals.count(is_refused=False)
 
-    async def relay(self, answer: Answer) -> None:
-        """Relay an answer; a short one is buffered until it is complete.
+    async def deliver(self, answer: Answer, body: bytes | None) -> None:
+        """Relay an answer and record its outcome once it is complete.
 
-        A short answer that is truncated can then still be refused.
+        `body` is None if the answer has yet to be received.
         """
-        exchange = self.exchange
-        length = get_header(answer.head.headers, b'content-length')
+        await self.relay(answer, body)
+        self.record_complete_answer(answer)
+        if self.call.is_nested:
+            self.state.guard.nested_refusals.count(is_refused=False)
+
+    async def relay(self, answer: Answer, body: bytes | None) -> None:
+        """Send an answer to the caller, a long one while it is received."""
         added_headers = self.state.authenticator.dialect.build_answer_headers(
             self.call.identity.text
         )
-        if length is None or int(length) > MAX_BUFFERED_ANSWER_BYTES:
-            await relay_answer(exchange, self.sender, answer, added_headers)
-            return
-        body = exchange.take_buffered_body()
         if body is None:
-            deadline = self.call.origin.context.deadline
-            body = await read_answer_body(exchange, deadline)
+            await relay_answer(
+                self.exchange, self.sender, answer, added_headers
+            )
+            return
         headers = strip_hop_headers(answer.head.headers, NO_DROPPED_HEADERS)
         headers += added_headers
-        # Free the slot first, so that a slow caller does not occupy it.
-        await exchange.close()
         self.sender.send_complete(answer.head.status, headers, body)
 
     def record_complete_answer(self, answer: Answer) -> None:
--- a/limpetshore/routing/attempts.py
+++ b/limpetshore/routing/attempts.py
@@ -100,8 +100,9 @@
         """Wait for an answer and deliver it; return the failure or None."""
         try:
             answer = await waiting
+            body = await attempt.receive(answer)
             if lane is None or lane.claim():
-                await attempt.deliver(answer)
+                await attempt.deliver(answer, body)
         except (
             RefusedError,
             CallerDisconnectedError,
--- a/limpetshore/routing/races.py
+++ b/limpetshore/routing/races.py
@@ -7,7 +7,10 @@
 
 
 class Lane:
-    """Hold one of two ways to an answer, until one of them has a head."""
+    """Hold one of two ways to an answer; the first one that has it wins.
+
+    A short answer must be complete, a longer one must have begun.
+    """
 
     def __init__(self) -> None:
         """Start without a rival; `oppose` sets it."""
--- a/tests/scripted_peers.py
+++ b/tests/scripted_peers.py
@@ -10,7 +10,7 @@
 from limpetshore.decisions.admission_levels import ReportedLevel
 from limpetshore.decisions.latency_estimate import LatencyEstimate
 from limpetshore.decisions.retry_budgets import RetryBudget, RetryTokens
-from limpetshore.errors import ConnectionLostError
+from limpetshore.errors import ConnectionLostError, TruncatedError
 from limpetshore.metrics import Metrics
 from limpetshore.protocol.bodies import AnswerSender
 from limpetshore.protocol.dialects import RequestIdentity
@@ -41,13 +41,15 @@
     """Say what the node beside one server does with a call.
 
     It answers `status` after `delay_s`, or refuses for `reason`; with no
-    `status` it never answers, and with `is_cut` it closes the connection.
+    `status` it never answers, and with `is_cut` it closes the connection; with
+    `is_truncated` it does so behind the head of the answer.
     """
 
     delay_s: float = 0
     status: int | None = 200
     reason: Reason | None = None
     is_cut: bool = False
+    is_truncated: bool = False
 
 
 class ScriptedConnection:
@@ -82,8 +84,12 @@
         return ResponseHead(self.script.status, build_answer(self.script))
 
     def take_buffered_body(self):
-        """Return the body."""
-        return b'whole'
+        """Return the body, unless it is not complete."""
+        return None if self.script.is_truncated else b'whole'
+
+    async def read_chunk(self, timeout_s):
+        """Fail: the answer ends early."""
+        raise TruncatedError('the other node hung up')
 
     async def read_all(self, max_bytes):
         """Return the body of a refusal."""
--- a/tests/test_overdue_answers.py
+++ b/tests/test_overdue_answers.py
@@ -26,6 +26,7 @@
     'draining': Script(status=503, reason=Reason.DRAINING),
     'cut': Script(is_cut=True),
     'cut later': Script(delay_s=0.2, is_cut=True),
+    'truncated': Script(is_truncated=True),
 }
 
 
