--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -228,6 +228,12 @@
             await asyncio.sleep(work_s / 10)
         request.send_body(b'', is_last=True)
 
+    def list_arrivals(self):
+        """Return the id and the time of each request that came."""
+        if self.arrivals:
+            return [(one, arrival.at) for one, arrival in self.arrivals]
+        return [(one, times[0]) for one, times in self.runs.items()]
+
     async def beat(self):
         """Send heartbeats until cancelled."""
         pool = HttpPool(self.node.address(8540), 5)
--- a/standins/site_servers.py
+++ b/standins/site_servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from types import MappingProxyType
 from typing import NamedTuple
 from urllib.parse import parse_qsl
 
@@ -62,12 +63,19 @@
     """
 
     slots = 40
+    # Replaces the slots of some services.
+    slots_of = MappingProxyType({})
 
     def __init__(self, node, instance):
         """Serve beside a node, under an instance id."""
         super().__init__(node, instance)
         found = [one for one in SERVICES if one.name == node.service]
-        self.slots = found[0].slots if found else self.slots
+        slots = found[0].slots if found else self.slots
+        self.slots = self.slots_of.get(node.service, slots)
+        # How many times longer than planned its work takes.
+        self.slowness = 1
+        # Ids of requests that found no place in the queue.
+        self.held = []
         self.free = asyncio.Semaphore(self.slots)
         self.waiting = 0
 
@@ -81,6 +89,7 @@
         request_id = headers[b'limpetshore-request-id'].decode()
         self.arrivals.append((request_id, self.build_arrival(request, headers)))
         if self.waiting > QUEUE_SHARE * self.slots:
+            self.held.append(request_id)
             await asyncio.Event().wait()
         self.waiting += 1
         try:
@@ -114,7 +123,8 @@
         statuses = []
         if calls and self.calls:
             statuses = await self.calls(request_id, calls, deadline)
-        await asyncio.sleep(int(query.get('work', DEFAULT_WORK_MS)) / MS_PER_S)
+        work_s = int(query.get('work', DEFAULT_WORK_MS)) / MS_PER_S
+        await asyncio.sleep(work_s * self.slowness)
         has_failed = any(status != 200 for status in statuses)
         size = int(query.get('size', '0'))
         body = b'of ' + request_id.encode() + b'.' * size
@@ -166,3 +176,9 @@
             read(b'limpetshore-caller-service'),
             read(b'limpetshore-tenant-id'),
         )
+
+
+class CrowdedServer(SiteServer):
+    """Have just enough room for the innermost calls of the usual load."""
+
+    slots_of = MappingProxyType({'dispatch': 10})
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -12,6 +12,7 @@
 import json
 import random
 import signal
+import socket
 import sys
 import time
 from collections import Counter
@@ -36,6 +37,7 @@
 MAX_DOWN_S = 2.0
 PROBE_PERIOD_S = 0.1
 PIECE_BYTES = 16384
+SEGMENT_PAUSE_S = 0.001
 # Earlier, the interpreter itself may not have started yet.
 HANGUP_AFTER_START_S = (0.5, 1.0)
 
@@ -93,8 +95,8 @@
         return f'{label}{self.count:06x}'
 
     def find_sigterm(self, node, sent_at, ended_at):
-        """Return the time of the SIGTERM around which a request was open."""
-        for planned in self.planned:
+        """Return the time of the last SIGTERM while a request was open."""
+        for planned in reversed(self.planned):
             is_there = planned.node == node
             is_term = planned.signal == signal.SIGTERM
             is_open = sent_at < planned.at + GRACE_S + 1 > ended_at - 1
@@ -103,15 +105,34 @@
         return None
 
 
+class Manner(NamedTuple):
+    """Describe how a caller uses its connection.
+
+    One that is eager sends its next request as soon as an answer is whole,
+    whatever the answer says of the connection. `max_wait_s` is how long it may
+    leave an answer unread. With `segment_bytes`, heads are sent in segments of
+    that size at most, gathered by the algorithm of Nagle if `is_gathered`.
+    """
+
+    is_eager: bool = False
+    max_wait_s: float = 0
+    segment_bytes: int = 0
+    is_gathered: bool = False
+
+
+PLAIN = Manner()
+
+
 class KeptConnection:
     """Send requests on one connection until its node closes it."""
 
-    def __init__(self, record, node, label, key=KEY):
+    def __init__(self, record, node, label, key=KEY, manner=PLAIN):
         """Prepare a connection to the callers' port of a node."""
         self.record = record
         self.node = node
         self.label = label
         self.key = key
+        self.manner = manner
 
     async def run(self, build_requests, until):
         """Open a connection, send groups of requests, and open it again."""
@@ -162,10 +183,11 @@
                 f'Authorization: Bearer {self.key}',
                 f'Content-Length: {len(body)}',
             ]
-            if not writer.transport.is_closing():
-                writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
+            head = '\r\n'.join(lines).encode() + b'\r\n\r\n'
+            await send_head(writer, head, self.manner)
             await send_slowly(writer, body, pause_s)
             self.record.whole_at[request_id] = time.monotonic()
+        await self.leave_unread(writer)
         statuses = []
         is_open = True
         for one in sent:
@@ -174,6 +196,7 @@
                 status, is_whole, is_open, is_sealed = await read_answer(
                     reader, one
                 )
+                is_open = is_open or (is_whole and self.manner.is_eager)
             statuses.append(status)
             if is_judged:
                 self.record.outcomes.append(
@@ -181,6 +204,31 @@
                 )
         return statuses, is_open
 
+    async def leave_unread(self, writer):
+        """Leave what arrives in the socket for a while, if that is its way."""
+        if not self.manner.max_wait_s or writer.transport.is_closing():
+            return
+        writer.transport.pause_reading()
+        await asyncio.sleep(self.record.rng.uniform(0, self.manner.max_wait_s))
+        if not writer.transport.is_closing():
+            writer.transport.resume_reading()
+
+
+async def send_head(writer, head, manner):
+    """Send a head at once, or in segments."""
+    if manner.segment_bytes:
+        connected = writer.get_extra_info('socket')
+        connected.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NODELAY, int(not manner.is_gathered)
+        )
+    size = manner.segment_bytes or len(head)
+    for start in range(0, len(head), size):
+        if writer.transport.is_closing():
+            return
+        if start:
+            await asyncio.sleep(SEGMENT_PAUSE_S)
+        writer.write(head[start : start + size])
+
 
 async def send_slowly(writer, body, pause_s):
     """Send a body in pieces, with a pause after each."""
@@ -248,6 +296,10 @@
         self.changed_before_at = 0
         self.stopping = set()
         self.clauses = Counter()
+        # Each loss with its outcome, and the lines of those without a clause.
+        self.losses = []
+        self.early_lines = set()
+        self.ignored_early_s = 0
 
     async def run(self):
         """Play the seed; return the broken promises."""
@@ -347,13 +399,18 @@
             node = rng.choice(self.fleet.nodes)
             if node in self.stopping:
                 continue
-            self.stopping.add(node)
-            await self.stop_node(node)
-            if rng.random() < 0.3:
-                await asyncio.sleep(rng.uniform(*HANGUP_AFTER_START_S))
-                node.process.send_signal(signal.SIGHUP)
-            await self.wait_ready(node)
-            self.stopping.discard(node)
+            await self.restart_node(node)
+
+    async def restart_node(self, node):
+        """Stop a node, start it again and wait until it is ready."""
+        rng = self.rng
+        self.stopping.add(node)
+        await self.stop_node(node)
+        if rng.random() < 0.3:
+            await asyncio.sleep(rng.uniform(*HANGUP_AFTER_START_S))
+            node.process.send_signal(signal.SIGHUP)
+        await self.wait_ready(node)
+        self.stopping.discard(node)
 
     async def wait_ready(self, node):
         """Wait until a node is ready; start it again if it ends by itself."""
@@ -535,14 +592,37 @@
     def count_loss(self, outcome, loss):
         """Count a loss by its clause; report one that no clause excuses."""
         self.clauses[loss.clause] += 1
+        self.losses.append((outcome, loss))
         if loss.clause is None:
             sent = outcome.sent
             kind = 'given up' if outcome.is_whole else 'cut'
-            self.record.broken.append(
+            line = (
                 f'LOST: {sent.request_id} {sent.path} at {sent.node}, {kind}, '
                 f'status {outcome.status}, first {sent.is_first}: '
-                f'{loss.describe()}'
+                f'{loss.describe()}{self.describe_server(sent)}'
             )
+            self.record.broken.append(line)
+            if loss.took_s > loss.limit_s - self.ignored_early_s:
+                self.early_lines.add(line)
+
+    def describe_server(self, sent):
+        """Return which server got a request, and when its node was stopped."""
+        for server in self.fleet.servers:
+            times = [
+                at
+                for one, at in server.list_arrivals()
+                if one == sent.request_id
+            ]
+            if times:
+                terms = [
+                    round(sent.sent_at - planned.at, 3)
+                    for planned in self.record.planned
+                    if planned.node == server.node.name
+                    and planned.signal == signal.SIGTERM
+                    and abs(sent.sent_at - planned.at) < GRACE_S + 1
+                ]
+                return f', at {server.instance}, sent since its SIGTERM {terms}'
+        return ''
 
 
 async def play_seed(seed, seconds, count, has_kills):
--- a/standins/soak_clauses.py
+++ b/standins/soak_clauses.py
@@ -113,7 +113,8 @@
     if loss.sent_since_term_s is None:
         return Clause.NO_SIGTERM if outcome.is_whole else None
     is_excused = loss.sent_since_term_s <= EXCUSED_SENT_S
-    ended_s = loss.took_s if loss.ended_after_s is None else loss.ended_after_s
+    # A server may work on after the node has given its request up.
+    ended_s = min(loss.took_s, loss.ended_after_s or loss.took_s)
     if is_excused and loss.sent_since_term_s + ended_s >= LATE_SHARE * GRACE_S:
         return Clause.LAST_SIXTH
     return None
--- a/standins/soak_site.py
+++ b/standins/soak_site.py
@@ -6,6 +6,10 @@
 restarted, a store turns some nodes away, nodes are paused or killed, a service
 gets more requests than it can serve, and configurations move, split, add and
 drop routes and keys and change timeouts. `--trouble` selects some of these.
+It also knows `roll` (nodes stop in turn, so that stops overlap), `burst` (all
+callers at once ask more than the servers of the innermost calls can queue),
+`slow` (the servers of a service take longer) and `manners` (callers use their
+connections in several ways).
 """
 
 import argparse
@@ -15,6 +19,7 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 
 import anyio
 
@@ -24,17 +29,26 @@
     build_configuration,
     build_route,
 )
-from standins.site_servers import SERVICES, SiteServer
+from standins.blocking_caller import BlockingCalls
+from standins.site_servers import SERVICES, CrowdedServer, SiteServer
 from standins.soak import (
     APPLY_S,
     GRACE_S,
     IN_TOUCH_S,
     MAX_DOWN_S,
+    PLAIN,
     ZONES,
     KeptConnection,
+    Manner,
     Soak,
 )
-from standins.soak_checks import SiteChecks, Version, find_timeout
+from standins.soak_clauses import LATE_SHARE
+from standins.soak_checks import (
+    SiteChecks,
+    Version,
+    find_prefix,
+    find_timeout,
+)
 
 TROUBLES = (
     'stop',
@@ -46,6 +60,10 @@
     'pause',
     'kill',
     'starve',
+    'roll',
+    'burst',
+    'slow',
+    'manners',
 )
 STORE_REFUSALS = ('503', '429', 'reset', 'silent')
 DRAIN_S = 2.0
@@ -58,6 +76,17 @@
 SPLIT_PER_S = 150
 SPLIT_WEIGHTS = ((90, 10), (50, 50), (60, 40), (75, 25), (30, 70))
 MAX_EXTRA_ROUTES = 350
+ROLL_GAP_S = (1.0, 1.5)
+BURST_GAP_S = (1.0, 4.0)
+BURST_S = (2.0, 5.0)
+MAX_STARVED_BEFORE_S = 0.6
+MANNERS = (
+    PLAIN,
+    Manner(is_eager=True),
+    Manner(max_wait_s=0.15),
+    Manner(segment_bytes=90),
+    Manner(is_eager=True, segment_bytes=90, is_gathered=True),
+)
 
 
 class SiteSoak(Soak):
@@ -73,7 +102,8 @@
             (names[index * 7 % len(names)], ZONES[index % 3])
             for index in range(count)
         ]
-        self.fleet = PlatformFleet(layout, server_class=SiteServer)
+        server = CrowdedServer if 'burst' in troubles else SiteServer
+        self.fleet = PlatformFleet(layout, server_class=server)
         self.versions = []
         self.keys = []
         self.withdrawn = []
@@ -84,6 +114,8 @@
         # Who was disturbed, or '' for the store, from when to when.
         self.disturbances = []
         self.max_lag_s = 0
+        # Parent id, node and time of each nested call that found no open port.
+        self.unconnected = []
 
     async def run(self):
         """Play the seed; return the broken promises."""
@@ -98,16 +130,32 @@
         finally:
             await self.fleet.stop()
         self.check_outcomes()
+        self.check_unconnected()
         self.record.broken += SiteChecks(self).run()
         return self.record.broken
 
+    def check_unconnected(self):
+        """Check that a node takes the calls of requests that still run."""
+        ended_at = {
+            outcome.sent.request_id: outcome.ended_at
+            for outcome in self.record.outcomes
+        }
+        for parent_id, name, at in self.unconnected:
+            planned_at = self.record.find_sigterm(name, at, at)
+            is_early = planned_at and at < planned_at + LATE_SHARE * GRACE_S
+            if is_early and ended_at.get(parent_id, 0) > at:
+                self.record.broken.append(
+                    f'PORT: {name} takes no call of {parent_id}, which still '
+                    f'runs {at - planned_at:.3f} s after the SIGTERM'
+                )
+
     async def play(self):
         """Run load, probes and troubles beside each other."""
         until = time.monotonic() + self.seconds
         load = [
-            KeptConnection(self.record, node, f'c{index}n').run(
-                self.draw_requests, until + GRACE_S
-            )
+            KeptConnection(
+                self.record, node, f'c{index}n', manner=self.find_manner(node)
+            ).run(self.draw_requests, until + GRACE_S)
             for node in self.fleet.nodes
             for index in range(self.callers)
         ]
@@ -124,6 +172,9 @@
             'surge': [self.surge(until)],
             'pause': [self.pause_nodes(until)],
             'kill': [self.kill_nodes(until)],
+            'roll': [self.roll_nodes(until)],
+            'burst': [self.burst(until)],
+            'slow': [self.slow_services(until)],
         }
         chosen = []
         for name, parts in plays.items():
@@ -258,22 +309,42 @@
             )
             writer.transport.abort()
 
+    def find_manner(self, node):
+        """Return how the callers at a node use their connections."""
+        if 'manners' not in self.troubles:
+            return PLAIN
+        index = self.fleet.nodes.index(node)
+        return MANNERS[index % len(MANNERS)]
+
     def build_caller(self, node):
         """Return what makes the calls of the server beside a node."""
         connections = []
+        manner = self.find_manner(node)
+        blocking = BlockingCalls(self.record, node)
+        is_blocking = manner is PLAIN and 'manners' in self.troubles
+
+        def note_unconnected(parent_id):
+            self.unconnected.append((parent_id, node.name, time.monotonic()))
 
         async def call_once(parent_id, prefix, deadline):
             left_s = deadline - time.monotonic()
             if left_s <= 0:
                 return [504]
             label = f'{parent_id}.'
-            kept = KeptConnection(self.record, node, label)
+            if is_blocking:
+                path = f'{prefix}1?work=15'
+                status = await blocking.call(label, path, left_s)
+                if status is None:
+                    note_unconnected(parent_id)
+                return [status or 0]
+            kept = KeptConnection(self.record, node, label, manner=manner)
             try:
-                pair = connections.pop() if connections else None
+                pair = take_open(connections)
                 reader, writer = pair or await asyncio.open_connection(
                     *node.address(8548)
                 )
             except OSError:
+                note_unconnected(parent_id)
                 return [0]
             is_open = False
             try:
@@ -335,6 +406,7 @@
             await super().stop_node(node, is_restarted=is_restarted)
             return
         starving = asyncio.ensure_future(self.starve(node.process))
+        await asyncio.sleep(self.rng.uniform(0, MAX_STARVED_BEFORE_S))
         await super().stop_node(node, is_restarted=is_restarted)
         await starving
 
@@ -394,6 +466,67 @@
                 )
             )
 
+    async def roll_nodes(self, until):
+        """Stop the nodes in turn, without waiting for the one before."""
+        rng = self.rng
+        waiting = []
+        restarts = []
+        while time.monotonic() < until - GRACE_S:
+            await asyncio.sleep(rng.uniform(*ROLL_GAP_S))
+            for _ in range(rng.choice((1, 1, 1, 2))):
+                if not waiting:
+                    waiting = list(self.fleet.nodes)
+                node = waiting.pop(0)
+                if node not in self.stopping:
+                    restarts.append(
+                        asyncio.ensure_future(self.restart_node(node))
+                    )
+        await asyncio.gather(*restarts)
+
+    async def burst(self, until):
+        """Let all callers ask several times as much for some seconds."""
+        rng = self.rng
+        while time.monotonic() < until - 3:
+            await asyncio.sleep(rng.uniform(*BURST_GAP_S))
+            end_at = min(until, time.monotonic() + rng.uniform(*BURST_S))
+            factor = rng.randint(2, 5)
+            await asyncio.gather(
+                *(
+                    KeptConnection(
+                        self.record, node, 'b', manner=self.find_manner(node)
+                    ).run(self.draw_crowding, end_at)
+                    for node in self.fleet.nodes
+                    for _ in range((factor - 1) * self.callers)
+                )
+            )
+
+    def draw_crowding(self):
+        """Draw a request that ends at the servers of the innermost calls."""
+        kind = self.rng.randrange(10)
+        if kind < 3:
+            return [('DELETE', '/pour/4?work=72', 1)]
+        if kind < 8:
+            return [('GET', '/stock/4?work=5', 3)]
+        return [('POST', '/hold/4?work=5', 3)]
+
+    async def slow_services(self, until):
+        """Let the servers of one service take longer for some seconds."""
+        rng = self.rng
+        while time.monotonic() < until:
+            await asyncio.sleep(rng.uniform(1, 4))
+            service = rng.choice([one.name for one in SERVICES])
+            slowed = [
+                server
+                for server in self.fleet.servers
+                if server.node.service == service
+            ]
+            slowness = rng.uniform(3, 10)
+            for server in slowed:
+                server.slowness = slowness
+            await asyncio.sleep(rng.uniform(1, 4))
+            for server in slowed:
+                server.slowness = 1
+
     async def pause_nodes(self, until):
         """Pause single nodes for some seconds."""
         rng = self.rng
@@ -501,12 +634,34 @@
         return statuses[0]
 
 
+def take_open(connections):
+    """Take a connection that the node has not closed, None if there is none."""
+    while connections:
+        reader, writer = connections.pop()
+        if not reader.at_eof():
+            return reader, writer
+        writer.transport.abort()
+    return None
+
+
+def count_routes(soak):
+    """Return the requests and the losses by clause, by route."""
+    routes = {}
+    for outcome in soak.record.outcomes:
+        prefix = find_prefix(outcome.sent.path)
+        routes.setdefault(prefix, Counter())['sent'] += 1
+    for outcome, loss in soak.losses:
+        routes[find_prefix(outcome.sent.path)][str(loss.clause)] += 1
+    return routes
+
+
 async def play_seed(options, seed):
     """Play a seed and print what was seen; return the broken promises."""
     troubles = options.trouble.split(',') if options.trouble else TROUBLES[:6]
     soak = SiteSoak(
         seed, options.seconds, options.nodes, troubles, options.callers
     )
+    soak.ignored_early_s = options.ignore_early_ms / 1000
     broken = await soak.run()
     statuses = {}
     for outcome in soak.record.outcomes:
@@ -524,11 +679,15 @@
         'versions': len(soak.versions),
         'max_lag_s': round(soak.max_lag_s, 3),
         'losses': {str(key): count for key, count in soak.clauses.items()},
+        'routes': count_routes(soak),
+        'held': sum(len(server.held) for server in soak.fleet.servers),
+        'early': len(soak.early_lines),
         'broken': len(broken),
         'logs': str(soak.fleet.folder),
     }
     print(json.dumps(report), flush=True)
-    for line in broken[: options.lines]:
+    shown = [line for line in broken if line not in soak.early_lines]
+    for line in shown[: options.lines]:
         print(line, flush=True)
     return broken
 
@@ -544,6 +703,13 @@
     parser.add_argument('--busy', type=int, default=0)
     parser.add_argument('--lines', type=int, default=30)
     parser.add_argument('--trouble', default='')
+    parser.add_argument(
+        '--ignore-early-ms',
+        type=float,
+        default=0,
+        help='print no line of a loss that ends so little before its limit; '
+        'it is broken all the same',
+    )
     options = parser.parse_args()
     busy = [
         subprocess.Popen([sys.executable, '-c', 'while True: pass'])
