Let the soak choke nodes and make servers uneven

Cause: nodes had processor time whenever they weren't told to stop, and all servers were alike, so that few calls were overdue. Change: choke gives some nodes processor time in slices; uneven gives servers a speed of their own and requests varying work. Both count as load.

--- a/standins/site_servers.py
+++ b/standins/site_servers.py
@@ -1,6 +1,7 @@
 """Serve as the backend servers of a site whose services call each other."""
 
 import asyncio
+import random
 import time
 from types import MappingProxyType
 from typing import NamedTuple
@@ -72,8 +73,11 @@
         found = [one for one in SERVICES if one.name == node.service]
         slots = found[0].slots if found else self.slots
         self.slots = self.slots_of.get(node.service, slots)
-        # How many times longer than planned its work takes.
+        # How many times longer than planned its work takes, and how far single
+        # requests stray from that.
         self.slowness = 1
+        self.speed = 1
+        self.spread = 0
         # Ids of requests that found no place in the queue.
         self.held = []
         self.free = asyncio.Semaphore(self.slots)
@@ -124,7 +128,7 @@
         if calls and self.calls:
             statuses = await self.calls(request_id, calls, deadline)
         work_s = int(query.get('work', DEFAULT_WORK_MS)) / MS_PER_S
-        await asyncio.sleep(work_s * self.slowness)
+        await asyncio.sleep(work_s * self.draw_slowness())
         has_failed = any(status != 200 for status in statuses)
         size = int(query.get('size', '0'))
         body = b'of ' + request_id.encode() + b'.' * size
@@ -134,6 +138,11 @@
         else:
             self.answer(request, request_id, 500 if has_failed else 200, body)
 
+    def draw_slowness(self):
+        """Return how many times longer than planned one request takes."""
+        stray = random.lognormvariate(-(self.spread**2) / 2, self.spread)
+        return self.slowness / self.speed * stray
+
     async def stream(self, request, request_id, body, pause_s):
         """Send an answer in pieces, with a pause after each."""
         request.start_answer(200, self.build_headers(request_id))
--- a/standins/soak_site.py
+++ b/standins/soak_site.py
@@ -8,8 +8,9 @@
 drop routes and keys and change timeouts. `--trouble` selects some of these.
 It also knows `roll` (nodes stop in turn, so that stops overlap), `burst` (all
 callers at once ask more than the servers of the innermost calls can queue),
-`slow` (the servers of a service take longer) and `manners` (callers use their
-connections in several ways).
+`slow` (the servers of a service take longer), `choke` (nodes get processor time
+in slices), `uneven` (servers differ in speed, and so do requests) and `manners`
+(callers use their connections in several ways).
 """
 
 import argparse
@@ -64,6 +65,8 @@
     'burst',
     'slow',
     'manners',
+    'choke',
+    'uneven',
 )
 STORE_REFUSALS = ('503', '429', 'reset', 'silent')
 DRAIN_S = 2.0
@@ -80,6 +83,13 @@
 BURST_GAP_S = (1.0, 4.0)
 BURST_S = (2.0, 5.0)
 MAX_STARVED_BEFORE_S = 0.6
+CHOKED_SHARE = (0.1, 0.5)
+CHOKED_S = (1.0, 5.0)
+PAUSE_S = (0.02, 0.15)
+SLICE_S = (0.02, 0.1)
+SPEEDS = (0.5, 1, 1, 1.5)
+# Standard deviation of the logarithm of the time of work.
+WORK_SPREAD = 0.5
 MANNERS = (
     PLAIN,
     Manner(is_eager=True),
@@ -120,7 +130,7 @@
     async def run(self):
         """Play the seed; return the broken promises."""
         for node in self.fleet.nodes:
-            node.server.calls = self.build_caller(node)
+            self.equip_server(node)
         try:
             await self.fleet.start(self.build_configuration())
             self.changed_at = time.monotonic()
@@ -149,6 +159,13 @@
                     f'runs {at - planned_at:.3f} s after the SIGTERM'
                 )
 
+    def equip_server(self, node):
+        """Let the server beside a node make calls, at a speed of its own."""
+        node.server.calls = self.build_caller(node)
+        if 'uneven' in self.troubles:
+            node.server.speed = self.rng.choice(SPEEDS)
+            node.server.spread = WORK_SPREAD
+
     async def play(self):
         """Run load, probes and troubles beside each other."""
         until = time.monotonic() + self.seconds
@@ -175,6 +192,7 @@
             'roll': [self.roll_nodes(until)],
             'burst': [self.burst(until)],
             'slow': [self.slow_services(until)],
+            'choke': [self.choke_nodes(until)],
         }
         chosen = []
         for name, parts in plays.items():
@@ -393,7 +411,7 @@
             await self.stop_node(node, is_restarted=False)
             await asyncio.sleep(rng.uniform(0, MAX_DOWN_S))
             node.build_server()
-            node.server.calls = self.build_caller(node)
+            self.equip_server(node)
             await self.fleet.start_server(node)
             await node.start()
             await self.wait_ready(node)
@@ -422,6 +440,33 @@
                 process.send_signal(signal.SIGCONT)
             await asyncio.sleep(self.rng.uniform(0.05, 0.3))
 
+    async def choke_nodes(self, until):
+        """Give some nodes processor time only in slices for some seconds.
+
+        This counts as load, not as a disruption that excuses anything.
+        """
+        rng = self.rng
+        while time.monotonic() < until:
+            await asyncio.sleep(rng.uniform(0, 2))
+            share = rng.uniform(*CHOKED_SHARE)
+            chosen = rng.sample(
+                self.fleet.nodes, max(1, int(share * len(self.fleet.nodes)))
+            )
+            end_at = time.monotonic() + rng.uniform(*CHOKED_S)
+            await asyncio.gather(*(self.choke(node, end_at) for node in chosen))
+
+    async def choke(self, node, end_at):
+        """Let a node run only in slices, also after a restart."""
+        rng = self.rng
+        while time.monotonic() < end_at:
+            process = node.process
+            if process.returncode is None:
+                process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(rng.uniform(*PAUSE_S))
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+            await asyncio.sleep(rng.uniform(*SLICE_S))
+
     def find_limit_s(self, sent):
         """Return the time that its route or its caller allows a request."""
         return find_timeout(sent, self.versions)
