Let servers of the soak hold requests, and say how late it judged

Change: hold lets some servers answer no new request for a moment; a line of a loss says how late the soak itself was meanwhile. A node that ended just before the soak came to kill it no longer ends the soak with an error.

--- a/standins/site_servers.py
+++ b/standins/site_servers.py
@@ -78,7 +78,8 @@
         self.slowness = 1
         self.speed = 1
         self.spread = 0
-        # Ids of requests that found no place in the queue.
+        # Whether requests find no place in the queue, and the ids of those.
+        self.is_holding = False
         self.held = []
         self.free = asyncio.Semaphore(self.slots)
         self.waiting = 0
@@ -92,7 +93,7 @@
             return
         request_id = headers[b'limpetshore-request-id'].decode()
         self.arrivals.append((request_id, self.build_arrival(request, headers)))
-        if self.waiting > QUEUE_SHARE * self.slots:
+        if self.is_holding or self.waiting > QUEUE_SHARE * self.slots:
             self.held.append(request_id)
             await asyncio.Event().wait()
         self.waiting += 1
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -299,6 +299,8 @@
         # Each loss with its outcome, and the lines of those without a clause.
         self.losses = []
         self.early_lines = set()
+        # When this process was late, and by how many seconds.
+        self.lags = []
         self.ignored_early_s = 0
 
     async def run(self):
@@ -469,8 +471,7 @@
             async with asyncio.timeout(sent_at + GRACE_S - time.monotonic()):
                 await node.process.wait()
         except TimeoutError:
-            self.record.broken.append(f'{node.name} outlives its grace time')
-            node.process.kill()
+            self.end_outlived(node)
             await node.process.wait()
         if node.process.returncode:
             self.record.broken.append(
@@ -480,6 +481,15 @@
             await asyncio.sleep(rng.uniform(0, MAX_DOWN_S))
             await node.start()
 
+    def end_outlived(self, node):
+        """Kill a node that still runs at the end of its grace time."""
+        try:
+            node.process.kill()
+        except ProcessLookupError:
+            # It has ended, which this process was too late to see.
+            return
+        self.record.broken.append(f'{node.name} outlives its grace time')
+
     def send_signal(self, node, number):
         """Send a signal to a node and record it."""
         planned = Planned(node.name, number, time.monotonic())
@@ -600,11 +610,24 @@
                 f'LOST: {sent.request_id} {sent.path} at {sent.node}, {kind}, '
                 f'status {outcome.status}, first {sent.is_first}: '
                 f'{loss.describe()}{self.describe_server(sent)}'
+                f'{self.describe_lag(outcome)}'
             )
             self.record.broken.append(line)
             if loss.took_s > loss.limit_s - self.ignored_early_s:
                 self.early_lines.add(line)
 
+    def describe_lag(self, outcome):
+        """Return how late this process was at most while a request was open."""
+        lag_s = max(
+            (
+                lag_s
+                for at, lag_s in self.lags
+                if outcome.sent.sent_at < at < outcome.ended_at + lag_s
+            ),
+            default=0,
+        )
+        return f', judged {lag_s:.3f} s late'
+
     def describe_server(self, sent):
         """Return which server got a request, and when its node was stopped."""
         for server in self.fleet.servers:
--- a/standins/soak_site.py
+++ b/standins/soak_site.py
@@ -9,8 +9,9 @@
 It also knows `roll` (nodes stop in turn, so that stops overlap), `burst` (all
 callers at once ask more than the servers of the innermost calls can queue),
 `slow` (the servers of a service take longer), `choke` (nodes get processor time
-in slices), `uneven` (servers differ in speed, and so do requests) and `manners`
-(callers use their connections in several ways).
+in slices), `hold` (some servers answer no new request), `uneven` (servers
+differ in speed, and so do requests) and `manners` (callers use their
+connections in several ways).
 """
 
 import argparse
@@ -67,6 +68,7 @@
     'manners',
     'choke',
     'uneven',
+    'hold',
 )
 STORE_REFUSALS = ('503', '429', 'reset', 'silent')
 DRAIN_S = 2.0
@@ -90,6 +92,7 @@
 SPEEDS = (0.5, 1, 1, 1.5)
 # Standard deviation of the logarithm of the time of work.
 WORK_SPREAD = 0.5
+HOLDING_SERVICES = ('dispatch', 'dispatch', 'plans', 'holds')
 MANNERS = (
     PLAIN,
     Manner(is_eager=True),
@@ -193,6 +196,7 @@
             'burst': [self.burst(until)],
             'slow': [self.slow_services(until)],
             'choke': [self.choke_nodes(until)],
+            'hold': [self.hold_requests(until)],
         }
         chosen = []
         for name, parts in plays.items():
@@ -212,6 +216,8 @@
             await asyncio.sleep(LAG_PERIOD_S)
             lag_s = time.monotonic() - before - LAG_PERIOD_S
             self.max_lag_s = max(self.max_lag_s, lag_s)
+            if lag_s > LAG_PERIOD_S:
+                self.lags.append((time.monotonic(), lag_s))
 
     def build_configuration(self):
         """Return the current configuration."""
@@ -572,6 +578,24 @@
             for server in slowed:
                 server.slowness = 1
 
+    async def hold_requests(self, until):
+        """Let some servers hold what comes for a moment, without an answer."""
+        rng = self.rng
+        while time.monotonic() < until:
+            await asyncio.sleep(rng.uniform(0.5, 3))
+            service = rng.choice(HOLDING_SERVICES)
+            beside = [
+                server
+                for server in self.fleet.servers
+                if server.node.service == service
+            ]
+            holding = rng.sample(beside, rng.randint(1, len(beside)))
+            for server in holding:
+                server.is_holding = True
+            await asyncio.sleep(rng.uniform(0.2, 1.5))
+            for server in holding:
+                server.is_holding = False
+
     async def pause_nodes(self, until):
         """Pause single nodes for some seconds."""
         rng = self.rng
