Let long requests outlast the notice of a node in the soak

Change: with roll, each node has a caller of requests of 1 to 3.6 s, half of them such that may run once only; slow favours the servers of the innermost calls.

--- a/standins/soak_site.py
+++ b/standins/soak_site.py
@@ -82,6 +82,8 @@
 SPLIT_WEIGHTS = ((90, 10), (50, 50), (60, 40), (75, 25), (30, 70))
 MAX_EXTRA_ROUTES = 350
 ROLL_GAP_S = (1.0, 1.5)
+LONG_WORK_MS = (1000, 3600)
+LONG_TIMEOUT_S = 5
 BURST_GAP_S = (1.0, 4.0)
 BURST_S = (2.0, 5.0)
 MAX_STARVED_BEFORE_S = 0.6
@@ -92,6 +94,7 @@
 SPEEDS = (0.5, 1, 1, 1.5)
 # Standard deviation of the logarithm of the time of work.
 WORK_SPREAD = 0.5
+SLOWED_SERVICES = ('dispatch', 'dispatch', 'stock', 'holds', 'plans')
 HOLDING_SERVICES = ('dispatch', 'dispatch', 'plans', 'holds')
 MANNERS = (
     PLAIN,
@@ -182,6 +185,12 @@
         for node in self.fleet.nodes:
             load.append(self.send_alone(node, until + GRACE_S))
             load.append(self.send_split(node, until))
+            if 'roll' in self.troubles:
+                load.append(
+                    KeptConnection(self.record, node, 'l').run(
+                        self.draw_long, until + GRACE_S
+                    )
+                )
         probes = [self.probe_routes(node, until) for node in self.fleet.nodes]
         plays = {
             'stop': [self.stop_nodes(until), self.stop_nodes(until)],
@@ -534,6 +543,12 @@
                     )
         await asyncio.gather(*restarts)
 
+    def draw_long(self):
+        """Draw a request that outlasts the notice of the node it runs at."""
+        work_ms = int(self.rng.uniform(*LONG_WORK_MS))
+        method, prefix = self.rng.choice((('GET', 'draw'), ('POST', 'hold')))
+        return [(method, f'/{prefix}/5?work={work_ms}', LONG_TIMEOUT_S)]
+
     async def burst(self, until):
         """Let all callers ask several times as much for some seconds."""
         rng = self.rng
@@ -565,7 +580,7 @@
         rng = self.rng
         while time.monotonic() < until:
             await asyncio.sleep(rng.uniform(1, 4))
-            service = rng.choice([one.name for one in SERVICES])
+            service = rng.choice(SLOWED_SERVICES)
             slowed = [
                 server
                 for server in self.fleet.servers
