--- a/tests/test_soak_clauses.py
+++ b/tests/test_soak_clauses.py
@@ -196,3 +196,13 @@
     loss = judge_one(soak, build_servers(0.01), status=502, is_whole=True)
     assert loss.sent_since_term_s is None
     assert loss.clause == Clause.NO_SIGTERM
+
+
+def test_process_started_again_counts_until_a_second_after_the_grace():
+    """Excuse no failure of the next process while the window lasts."""
+    servers = build_servers(0.01, 0.09, 200)
+    fields = {'status': 502, 'is_whole': True}
+    inside = judge_one(StubSoak(-GRACE_S - 0.9), servers, **fields)
+    outside = judge_one(StubSoak(-GRACE_S - 1.2), servers, **fields)
+    assert inside.clause is None
+    assert outside.clause == Clause.NO_SIGTERM
