--- a/standins/soak.py
+++ b/standins/soak.py
@@ -573,7 +573,7 @@
 
     def collect_servers(self):
         """Return what all servers recorded."""
-        arrived, ends, answered = {}, {}, {}
+        arrived, ends, answered, nodes = {}, {}, {}, {}
         for server in self.fleet.servers:
             arrived.update(
                 (request_id, times[0])
@@ -581,9 +581,12 @@
             )
             # One that finds no place in the queue arrives without a run.
             arrived.update((one, it.at) for one, it in server.arrivals)
+            nodes.update(
+                (one, server.node.name) for one, _ in server.list_arrivals()
+            )
             ends.update(server.ends)
             answered.update(server.answered)
-        return ServerSide(arrived, ends, answered)
+        return ServerSide(arrived, ends, answered, nodes)
 
     def find_limit_s(self, sent):
         """Return the seconds after which a request may end without answer."""
--- a/standins/soak_clauses.py
+++ b/standins/soak_clauses.py
@@ -21,6 +21,7 @@
     BEHIND = 'not passed on, behind another'
     LAST_SIXTH = 'at work in the last sixth of the grace'
     NO_SIGTERM = 'given up, no SIGTERM'
+    OTHER_SIGTERM = 'given up, SIGTERM only of the node of its server'
 
 
 class Loss(NamedTuple):
@@ -37,6 +38,7 @@
     arrived_after_s: float | None
     ended_after_s: float | None
     answered: int | None
+    is_other_stopping: bool = False
 
     def describe(self) -> str:
         """Return the caller's side and the server's side as text."""
@@ -55,6 +57,8 @@
     arrived: dict[str, float]
     ends: dict[str, float]
     answered: dict[str, int]
+    # Names of the nodes beside the servers.
+    nodes: dict[str, str]
 
 
 def is_given_up(outcome):
@@ -78,6 +82,9 @@
     term_at = soak.record.find_sigterm(
         sent.node, sent.sent_at, outcome.ended_at
     )
+    other_term_at = soak.record.find_sigterm(
+        servers.nodes.get(sent.request_id), sent.sent_at, outcome.ended_at
+    )
     ended_at = servers.ends.get(sent.request_id)
 
     def since_sent(at):
@@ -92,6 +99,7 @@
         since_sent(arrived_at),
         since_sent(ended_at),
         servers.answered.get(sent.request_id),
+        other_term_at is not None,
     )
     is_disrupted = soak.is_disrupted(sent.sent_at, outcome.ended_at)
     waited_s = outcome.ended_at - soak.record.whole_at[sent.request_id]
@@ -111,7 +119,10 @@
             return Clause.BEHIND
         return Clause.CROSSED if waited_s <= LOSS_SLACK_S else None
     if loss.sent_since_term_s is None:
-        return Clause.NO_SIGTERM if outcome.is_whole else None
+        if not outcome.is_whole:
+            return None
+        is_other = loss.is_other_stopping
+        return Clause.OTHER_SIGTERM if is_other else Clause.NO_SIGTERM
     is_excused = loss.sent_since_term_s <= EXCUSED_SENT_S
     # A server may work on after the node has given its request up.
     ended_s = min(loss.took_s, loss.ended_after_s or loss.took_s)
