--- a/standins/site_servers.py
+++ b/standins/site_servers.py
@@ -1,7 +1,9 @@
 """Serve as the backend servers of a site whose services call each other."""
 
 import asyncio
+import random
 import time
+from types import MappingProxyType
 from typing import NamedTuple
 from urllib.parse import parse_qsl
 
@@ -62,12 +64,23 @@
     """
 
     slots = 40
+    # Replaces the slots of some services.
+    slots_of = MappingProxyType({})
 
     def __init__(self, node, instance):
         """Serve beside a node, under an instance id."""
         super().__init__(node, instance)
         found = [one for one in SERVICES if one.name == node.service]
-        self.slots = found[0].slots if found else self.slots
+        slots = found[0].slots if found else self.slots
+        self.slots = self.slots_of.get(node.service, slots)
+        # How many times longer than planned its work takes, and how far single
+        # requests stray from that.
+        self.slowness = 1
+        self.speed = 1
+        self.spread = 0
+        # Whether requests find no place in the queue, and the ids of those.
+        self.is_holding = False
+        self.held = []
         self.free = asyncio.Semaphore(self.slots)
         self.waiting = 0
 
@@ -80,7 +93,8 @@
             return
         request_id = headers[b'limpetshore-request-id'].decode()
         self.arrivals.append((request_id, self.build_arrival(request, headers)))
-        if self.waiting > QUEUE_SHARE * self.slots:
+        if self.is_holding or self.waiting > QUEUE_SHARE * self.slots:
+            self.held.append(request_id)
             await asyncio.Event().wait()
         self.waiting += 1
         try:
@@ -114,7 +128,8 @@
         statuses = []
         if calls and self.calls:
             statuses = await self.calls(request_id, calls, deadline)
-        await asyncio.sleep(int(query.get('work', DEFAULT_WORK_MS)) / MS_PER_S)
+        work_s = int(query.get('work', DEFAULT_WORK_MS)) / MS_PER_S
+        await asyncio.sleep(work_s * self.draw_slowness())
         has_failed = any(status != 200 for status in statuses)
         size = int(query.get('size', '0'))
         body = b'of ' + request_id.encode() + b'.' * size
@@ -124,6 +139,11 @@
         else:
             self.answer(request, request_id, 500 if has_failed else 200, body)
 
+    def draw_slowness(self):
+        """Return how many times longer than planned one request takes."""
+        stray = random.lognormvariate(-(self.spread**2) / 2, self.spread)
+        return self.slowness / self.speed * stray
+
     async def stream(self, request, request_id, body, pause_s):
         """Send an answer in pieces, with a pause after each."""
         request.start_answer(200, self.build_headers(request_id))
@@ -166,3 +186,9 @@
             read(b'limpetshore-caller-service'),
             read(b'limpetshore-tenant-id'),
         )
+
+
+class CrowdedServer(SiteServer):
+    """Have just enough room for the innermost calls of the usual load."""
+
+    slots_of = MappingProxyType({'dispatch': 10})
