Take a connection that has opened before it counts as late

A process without processor time for a while runs its timers before it looks at its sockets. A connection that had opened meanwhile was given up: the node took its own server for unreachable and refused all calls for 0.3 s, or left out the node beside another server for a second.

The sockets are looked at three times more before a connection is given up, since the event loop takes some rounds from an open socket to its protocol.

Nothing is lost by this: what is refused as unreachable has not run.

--- a/limpetshore/transport/http_client.py
+++ b/limpetshore/transport/http_client.py
@@ -31,6 +31,8 @@
 MAX_BODY_BYTES = 16777216  # of a body that is read as a whole
 CONNECT_TIMEOUT_S = 1.0
 TCP_USER_TIMEOUT_MS = 5000
+# An event loop takes some rounds from an open socket to its protocol.
+CONNECT_POLLS = 3
 
 
 class Address(NamedTuple):
@@ -338,6 +340,18 @@
     loop.call_soon(loop.call_soon, callback, *arguments)
 
 
+def call_after_polls(
+    loop: asyncio.AbstractEventLoop,
+    polls: int,
+    callback: Callable[[], None],
+) -> None:
+    """Call back after the event loop has looked at its sockets some times."""
+    if polls:
+        call_after_poll(loop, call_after_polls, loop, polls - 1, callback)
+    else:
+        callback()
+
+
 def wake_waiter(waiter: asyncio.Future[None] | None) -> None:
     """Complete a future that some task may await."""
     if waiter is not None and not waiter.done():
@@ -355,16 +369,36 @@
     timeout_s: float = CONNECT_TIMEOUT_S,
 ) -> HttpConnection:
     """Open a connection; raise ConnectError on failure or after the timeout."""
-    loop = asyncio.get_running_loop()
     try:
-        with anyio.fail_after(timeout_s):
+        connection = await open_within(address, timeout_s)
+    except ConnectionRefusedError as error:
+        raise PortClosedError(f'{address} is closed') from error
+    except (OSError, OverflowError) as error:
+        raise ConnectError(f'cannot connect to {address}: {error}') from error
+    if connection is None:
+        raise ConnectError(f'cannot connect to {address} in {timeout_s} s')
+    return connection
+
+
+async def open_within(
+    address: Address, timeout_s: float
+) -> HttpConnection | None:
+    """Open a connection; return None if it is not open in time.
+
+    A connection that has opened by then is taken, as in `start_timer`.
+    """
+    loop = asyncio.get_running_loop()
+    with anyio.CancelScope() as scope:
+        timer = loop.call_later(
+            timeout_s, call_after_polls, loop, CONNECT_POLLS, scope.cancel
+        )
+        try:
             _, connection = await loop.create_connection(
                 lambda: HttpConnection(address),
                 address.host,
                 address.port,
             )
-    except ConnectionRefusedError as error:
-        raise PortClosedError(f'{address} is closed') from error
-    except (OSError, TimeoutError, OverflowError) as error:
-        raise ConnectError(f'cannot connect to {address}: {error}') from error
-    return connection
+        finally:
+            timer.cancel()
+        return connection
+    return None
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -3,12 +3,18 @@
 import asyncio
 import socket
 import struct
+import time
 
 import anyio
 import pytest
-
-from limpetshore.errors import ConnectionLostError, TruncatedError
-from limpetshore.transport.http_client import Address
+import uvloop
+
+from limpetshore.errors import (
+    ConnectError,
+    ConnectionLostError,
+    TruncatedError,
+)
+from limpetshore.transport.http_client import Address, connect
 from limpetshore.transport.http_pool import HttpPool
 from tests.support import LOOPBACK_HOST
 
@@ -169,3 +175,38 @@
 
     script = [[build_answer(b'stray'), build_answer(b'own')]]
     assert run_against_script(script, work) == b'own'
+
+
+@pytest.mark.parametrize('run', [asyncio.run, uvloop.run])
+@pytest.mark.parametrize('rounds', range(1, 5))
+def test_connection_that_opened_during_a_stall_is_not_given_up(run, rounds):
+    """Look at the socket before a connection counts as late.
+
+    A node without processor time for 0.15 s took servers for unreachable, its
+    own among them, and refused calls.
+    """
+
+    async def work():
+        with socket.create_server((LOOPBACK_HOST, 0)) as port:
+            address = Address(*port.getsockname())
+            opening = asyncio.create_task(connect(address, 0.02))
+            for _ in range(rounds):
+                await asyncio.sleep(0)
+            time.sleep(0.04)
+            (await opening).close()
+
+    run(work())
+
+
+@pytest.mark.parametrize('run', [asyncio.run, uvloop.run])
+def test_port_that_accepts_nothing_is_given_up(run):
+    """Raise ConnectError if no connection opens in time."""
+
+    async def work():
+        with socket.create_server((LOOPBACK_HOST, 0), backlog=0) as port:
+            address = Address(*port.getsockname())
+            with socket.create_connection(address):
+                with pytest.raises(ConnectError):
+                    await connect(address, 0.02)
+
+    run(work())
