Show that doubt about the time of a SIGTERM shortens the grace

Found by the review: any gap of over 0.2 s among the last ticks of the event loop dates the signal back, by up to 0.7 s. The node then exits 4.7 s after the signal instead of 5.4 s, and cuts requests that its server is at work on before the time from which callers must expect it. Red since the grace time counts from when the signal can have come.

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -34,6 +34,7 @@
     'call': {'graceful_s': 4, 'drain_notice_s': 1},
 }
 WORK_MS = 600
+TOLERANCE_S = 1e-6  # of floating-point sums
 # Of the requests that come late, and of one that keeps the ports open.
 TIMEOUT_MS = 900
 LONG_WORK_MS = 5000
@@ -118,6 +119,24 @@
     assert run_on_mock_clock(run) == is_taken
 
 
+@pytest.mark.parametrize('late_s', [0, 0.2, 0.5, 0.7])
+def test_doubt_about_the_signal_shortens_no_grace(late_s):
+    """Exit within the grace time, but not long before its end.
+
+    A short stall before the signal dated that back, so that requests at work
+    were cut 0.7 s earlier than callers have to expect.
+    """
+
+    async def run():
+        schedule = DrainSchedule(6, 2)
+        schedule.start(clock.now() - late_s)
+        return schedule.exit_at - clock.now()
+
+    remaining_s = run_on_mock_clock(run)
+    assert remaining_s >= 5 - TOLERANCE_S
+    assert remaining_s + late_s <= 5.7 + TOLERANCE_S
+
+
 class StoppableServer:
     """Record when a server is stopped."""
 
