Count one failure of a late server that breaks off

Found by the review: when another server answered after the late one had broken off, the late one was recorded as silent, too, so that two such calls and one more ejected it. The test fails without the change ([BROKEN, SILENT]).

--- a/limpetshore/routing/attempts.py
+++ b/limpetshore/routing/attempts.py
@@ -127,7 +127,7 @@
             tasks.start_soon(self.wait_on, late, waiting)
             tasks.start_soon(self.retry_beside, inbound, retrying)
         self.is_racing = False
-        if retrying.has_won:
+        if retrying.has_won and waiting.failure is None:
             late.stats.record_unanswered(Reason.SILENT)
         return find_failure(waiting, retrying)
 
--- a/tests/test_overdue_answers.py
+++ b/tests/test_overdue_answers.py
@@ -54,6 +54,14 @@
     assert call.stats['a'].failures == [Reason.SILENT]
 
 
+def test_failure_of_a_late_server_counts_once():
+    """Record one failure of a server that is late and then breaks off."""
+    broken = Script(delay_s=0.2, is_cut=True)
+    call, _, answer = play({'a': broken, 'b': Script(delay_s=0.3)})
+    assert answer[:2] == (200, b'whole')
+    assert call.stats['a'].failures == [Reason.BROKEN]
+
+
 def test_answer_of_a_late_server_wins_over_a_later_one():
     """Deliver the answer of the first server if the second is slower."""
     call, _, answer = play({'a': SLOW, 'b': Script(delay_s=0.6)})
