Move the end of a node's calls into a module of its own

No change of behaviour: test_drain, test_layers, test_end_to_end and test_platform pass; finish_calls is tested without a stub of a node now. The order of one step changed: the guard is marked as leaving before the shards are, in the same step of the event loop.

--- a/bench/handling.py
+++ b/bench/handling.py
@@ -198,7 +198,7 @@
         servers = {
             'entry': node.callers_server,
             'nested': node.callers_server,
-            'guard': node.peers_server,
+            'guard': node.call_drain.peers_server,
         }
         for kind, request in build_requests().items():
             connection = ServerConnection(servers[kind])
--- a/limpetshore/node.py
+++ b/limpetshore/node.py
@@ -10,6 +10,7 @@
 
 from limpetshore import clock
 from limpetshore.admin import AdminApp
+from limpetshore.call_drain import CallDrain
 from limpetshore.coordination.borrowing import BorrowingLimiter, RateLimiter
 from limpetshore.coordination.fleet import FleetState, PolicyListener
 from limpetshore.coordination.gossip import Gossip
@@ -55,7 +56,6 @@
 UPDATE_PERIOD_S = 0.5
 JOIN_POLL_S = 0.05
 CONTROL_GRACE_S = 0.2
-LEAVE_POLL_S = 0.05
 GC_THRESHOLDS = (20_000, 50, 100)
 
 
@@ -198,7 +198,7 @@
             parse_address(listen.callers),
             graceful_s=graceful_s,
         )
-        self.peers_server = CallServer(
+        peers_server = CallServer(
             PeerApp(self.guard),
             parse_address(listen.peers),
             graceful_s=graceful_s,
@@ -220,6 +220,13 @@
         )
         self.extension = self.integration.extend(self)
         self.side_servers = [*self.extension.servers, admin_server]
+        self.call_drain = CallDrain(
+            self.guard,
+            self.ingress.drain,
+            self.callers_server,
+            peers_server,
+            self.side_servers,
+        )
 
     def adopt_policy(self, index: PolicyIndex) -> None:
         """Apply a newer policy to all components."""
@@ -248,7 +255,7 @@
             await anext(signals)
             await self.leave(ticks.find_earliest_arrival())
             await self.stop_control()
-            self.log_left()
+            self.call_drain.log_left()
             # The receivers restore the default actions when they are closed.
             hold_signals()
         self.tasks.cancel_scope.cancel()
@@ -258,16 +265,13 @@
 
         The signal came at `signalled_at` or later.
         """
-        logger.notice(
-            'the node is leaving the fleet', extra=self.count_open('open')
-        )
-        drain = self.ingress.drain
-        drain.start(signalled_at)
+        schedule = self.ingress.drain
+        self.call_drain.start(signalled_at)
         self.announce_leaving()
         if self.grants_budgets:
             await self.ledger_repair.release()
-        await anyio.sleep(drain.remaining_notice_s)
-        await self.finish_calls(drain.remaining_s)
+        await anyio.sleep(schedule.remaining_notice_s)
+        await self.call_drain.finish_calls(schedule.remaining_s)
 
     async def stop_control(self) -> None:
         """Stop serving and sending control messages."""
@@ -275,30 +279,12 @@
         await self.control_server.wait_stopped()
         self.gossip.client.close()
 
-    def log_left(self) -> None:
-        """Log what is still open, and is aborted with the event loop."""
-        logger.notice(
-            'the node has left the fleet',
-            extra={
-                'leaving_for_s': self.ingress.drain.leaving_for_s,
-                **self.count_open('aborted'),
-            },
-        )
-
-    def count_open(self, prefix: str) -> dict[str, int]:
-        """Count what is open: requests, calls of other nodes, calls at work."""
-        return {
-            f'{prefix}_requests': self.callers_server.open_request_count,
-            f'{prefix}_peer_calls': self.peers_server.open_request_count,
-            f'{prefix}_running_calls': len(self.guard.running_calls),
-        }
-
     async def start(self) -> None:
         """Start the HTTP servers, then the background tasks."""
         servers = (
             self.control_server,
             *self.side_servers,
-            self.peers_server,
+            self.call_drain.peers_server,
             self.callers_server,
         )
         for server in servers:
@@ -324,11 +310,8 @@
         tune_garbage_collector()
 
     def announce_leaving(self) -> None:
-        """Stop accepting work and gossip that the node is leaving."""
-        self.guard.is_leaving = True
+        """Gossip that the node is leaving."""
         self.local_shards.is_leaving = True
-        self.callers_server.disable_keep_alive()
-        self.peers_server.disable_keep_alive()
         backend = self.guard.backend
         self.table.update_own(Status.LEFT, backend.slots, backend.instance)
         if not self.table.is_joining:
@@ -336,25 +319,6 @@
         self.fleet.disseminate(self.table.own_name)
         self.gossip.request_push()
 
-    async def finish_calls(self, timeout_s: float) -> None:
-        """Wait for open requests, then stop all servers.
-
-        The ports stay open while calls are open: the backend server makes its
-        nested calls through that of callers, and other nodes probe their calls
-        at that of peers. Requests that are still open after `timeout_s`
-        seconds are aborted.
-        """
-        call_servers = (self.callers_server, self.peers_server)
-        with anyio.move_on_after(timeout_s):
-            while self.guard.open_calls:
-                await anyio.sleep(LEAVE_POLL_S)
-            for server in call_servers:
-                server.stop()
-            for server in call_servers:
-                await server.wait_stopped()
-        for server in (*call_servers, *self.side_servers):
-            server.stop()
-
     async def run_periodic_updates(self) -> None:
         """Update own status, membership, budgets and gauges periodically."""
         while True:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -12,8 +12,8 @@
 import pytest
 
 from limpetshore import clock
+from limpetshore.call_drain import CallDrain
 from limpetshore.decisions.drain_schedule import DrainSchedule
-from limpetshore.node import Node
 from limpetshore.protocol.messages import TIMEOUT_HEADER
 from standins.local_fleet import (
     PEERS_PORT,
@@ -168,14 +168,9 @@
         guard = SimpleNamespace(
             open_calls={'queued'}, running_calls=SimpleNamespace(calls={})
         )
-        node = SimpleNamespace(
-            guard=guard,
-            callers_server=servers[0],
-            peers_server=servers[1],
-            side_servers=[],
-        )
+        drain = CallDrain(guard, DrainSchedule(6, 2), *servers, [])
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(Node.finish_calls, node, 10)
+            tasks.start_soon(drain.finish_calls, 10)
             await anyio.sleep(5)
             stopped_early = [server.is_stopped for server in servers]
             guard.open_calls.clear()
