--- a/bench/handling.py
+++ b/bench/handling.py
@@ -21,7 +21,7 @@
 from limpetshore.state.backends import Announcement
 from limpetshore.state.members import Status
 from limpetshore.state.policies import Customer, PolicyIndex, Route, hash_key
-from limpetshore.transport import http_client
+from limpetshore.transport import http_pool
 from limpetshore.transport.server_connection import ServerConnection
 from limpetshore.transport.http_client import HttpConnection
 from tests.builders import KEY, build_node_state, build_policy
@@ -191,7 +191,7 @@
         connection.connection_made(MemoryTransport(connection, answer))
         return connection
 
-    http_client.connect = connect
+    http_pool.connect = connect
     clock.use_boot_time()
     async with anyio.create_task_group() as tasks:
         node = build_node(tasks)
