--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -10,6 +10,7 @@
 from limpetshore import clock
 from limpetshore.errors import RefusedError
 from limpetshore.protocol.messages import ProbeReply
+from limpetshore.routing import peer_calls
 from limpetshore.routing.peer_calls import PeerExchange
 from limpetshore.transport.http_client import Address
 from limpetshore.transport.http_pool import HttpPool
@@ -214,3 +215,26 @@
     is_lost, exchange = asyncio.run(run())
     assert not is_lost
     assert exchange.lost_probes == 0
+
+
+def test_probe_lasts_until_the_deadline_of_its_call(monkeypatch):
+    """End no probe before the time of its call is over.
+
+    Timers may fire a little early; a probe that ended so counted as lost.
+    """
+
+    async def answer_nothing(address, probe_request):
+        await anyio.sleep_forever()
+
+    async def run():
+        exchange = PeerExchange(QuietPool(), SILENCE_S, 10, QUIET_S)
+        exchange.pool.address = None
+        exchange.sent_at = clock.now()
+        request = WaitingRequest(0.5)
+        request.meta = SimpleNamespace(call_id='call')
+        request.deadline = clock.now() + 0.2
+        assert await exchange.probe(request) is None
+        return clock.now() - request.deadline
+
+    monkeypatch.setattr(peer_calls, 'send_probe', answer_nothing)
+    assert run_on_mock_clock(run) > clock.TIMER_ERROR_S / 2
